--- /dev/null
+++ b/scripts/run_tests.mjs
@@ -0,0 +1,60 @@
+// Runs every test file. Tests listed in KNOWN-RED.txt may fail and are printed;
+// any other failure, or a listed test that no longer exists, fails the run.
+import { existsSync, readdirSync, readFileSync } from "node:fs";
+import { join, relative, resolve } from "node:path";
+import { run } from "node:test";
+import { spec } from "node:test/reporters";
+
+const KNOWN_RED_FILE = "KNOWN-RED.txt";
+
+function findTests(dir) {
+  return readdirSync(dir, { withFileTypes: true }).flatMap((item) => {
+    const path = join(dir, item.name);
+    if (item.isDirectory()) return findTests(path);
+    return item.name.endsWith("_test.ts") ? [path] : [];
+  }).sort();
+}
+
+function readKnownRed() {
+  if (!existsSync(KNOWN_RED_FILE)) return [];
+  return readFileSync(KNOWN_RED_FILE, "utf8").split("\n")
+    .filter((line) => line.startsWith("test: "))
+    .map((line) => line.slice("test: ".length).trim());
+}
+
+const knownRed = readKnownRed();
+const wanted = process.argv.slice(2);
+const files = findTests("tests")
+  .filter((file) => wanted.length === 0 || wanted.some((w) => file.includes(w)))
+  .map((file) => resolve(file));
+
+// The test processes inherit this and so load TypeScript.
+process.env.NODE_OPTIONS = "--import tsx";
+const unexpected = [];
+const seen = new Set();
+
+const stream = run({ files, concurrency: 5, timeout: 120_000 });
+function testId(event) {
+  return `${relative(process.cwd(), event.file ?? "")} > ${event.name}`;
+}
+stream.on("test:pass", (event) => seen.add(testId(event)));
+stream.on("test:fail", (event) => {
+  const id = testId(event);
+  seen.add(id);
+  // A suite fails because of a test inside it, which is reported by itself.
+  if (event.details?.error?.failureType === "subtestsFailed") return;
+  if (!knownRed.includes(id)) unexpected.push(id);
+});
+stream.compose(new spec()).pipe(process.stdout);
+stream.on("end", () => {
+  process.on("exit", () => {
+    for (const id of knownRed) console.log(`known red: ${id}`);
+    for (const id of unexpected) console.log(`unexpected failure: ${id}`);
+  });
+  const missing = wanted.length === 0
+    ? knownRed.filter((id) => !seen.has(id))
+    : [];
+  for (const id of missing) unexpected.push(`${id} (listed, but not run)`);
+  if (files.length === 0) unexpected.push("no test files found");
+  process.exitCode = unexpected.length === 0 ? 0 : 1;
+});
