--- /dev/null
+++ b/src/base/refusal.ts
@@ -0,0 +1,14 @@
+import { z } from "zod";
+import { RefusalCode } from "./refusal_code.ts";
+
+/**
+ * An answer that the router gives in place of an upstream. `not_run` promises
+ * that no upstream has started the request; `outcome_unknown` makes no promise.
+ */
+export const Refusal = z.object({
+  code: RefusalCode,
+  outcome: z.enum(["not_run", "outcome_unknown"]),
+  message: z.string(),
+  data: z.record(z.string(), z.unknown()).optional(),
+});
+export type Refusal = z.infer<typeof Refusal>;
--- /dev/null
+++ b/src/contracts/server_grants.ts
@@ -0,0 +1,33 @@
+import type { ResultAsync } from "neverthrow";
+import type { Grant } from "./grant.ts";
+import type { GrantState } from "./grant_state.ts";
+
+type GrantError =
+  /** The upstream holds a grant with a greater or equal epoch and sequence. */
+  | { kind: "superseded"; state: GrantState }
+  | { kind: "unavailable"; message: string };
+
+/** Upstreams that accept fenced grants. */
+export interface ServerGrants {
+  /**
+   * @param address - `ip:port` of the upstream
+   * @param signal - gives up waiting
+   * @returns the upstream's clock reading and its present grant
+   */
+  read(
+    address: string,
+    signal: AbortSignal,
+  ): ResultAsync<GrantState, GrantError>;
+
+  /**
+   * @param address - `ip:port` of the upstream
+   * @param grant - replaces the present grant as a whole
+   * @param signal - gives up waiting; the grant may then have been accepted
+   * @returns the state after the change
+   */
+  put(
+    address: string,
+    grant: Grant,
+    signal: AbortSignal,
+  ): ResultAsync<GrantState, GrantError>;
+}
--- /dev/null
+++ b/src/regions/renew_params.ts
@@ -0,0 +1,64 @@
+import { z } from "zod";
+import { Unit } from "../shards/unit.ts";
+
+/** Parameters of `dispatch.renew`: what one router holds, saw and needs. */
+export const RenewParams = z.looseObject({
+  vm: z.string(),
+  incarnation: z.string(),
+  failureDomain: z.string(),
+  /** Epoch of the coordinator that last answered this router; 0 for none. */
+  coordinatorEpoch: z.int().nonnegative(),
+  /** Revision of each service's assignment row that the router has. */
+  rows: z.record(z.string(), z.int().nonnegative()),
+  /** The router is stopping and wants to hand over its tenures. */
+  leaving: z.boolean(),
+  /** Tenures that the router holds now. */
+  tenures: z.array(z.object({
+    service: z.string(),
+    upstream: z.string(),
+    epoch: z.int().positive(),
+  })),
+  /**
+   * Units no longer accepted, with no request in flight. `readyInMs` is how
+   * long the upstream may still hold a grant for them.
+   */
+  released: z.array(z.object({
+    service: z.string(),
+    upstream: z.string(),
+    unit: Unit,
+    readyInMs: z.number().nonnegative(),
+  })),
+  /** Tenures ended with no request in flight, ready for another dispatcher. */
+  ended: z.array(z.object({
+    service: z.string(),
+    upstream: z.string(),
+    epoch: z.int().positive(),
+  })),
+  upstreams: z.array(z.object({
+    service: z.string(),
+    upstream: z.string(),
+    state: z.enum(["cold", "warm", "draining", "lost"]),
+    inFlight: z.int().nonnegative(),
+    queued: z.int().nonnegative(),
+    /** Moving median of the service time in milliseconds; 0 if unknown. */
+    serviceMs: z.number().nonnegative(),
+    /** Requests started a second, averaged over some seconds. */
+    ratePerS: z.number().nonnegative(),
+  })),
+  hotKeys: z.array(z.object({
+    service: z.string(),
+    digest: z.string(),
+    upstream: z.string(),
+    ratePerS: z.number().nonnegative(),
+  })),
+  limits: z.array(z.object({
+    entry: z.string(),
+    /** Requests a second that arrived, admitted or not. */
+    demandPerS: z.number().nonnegative(),
+    /** Requests in flight plus those waiting for a share. */
+    demandConcurrency: z.int().nonnegative(),
+    heldRatePerS: z.number().nonnegative(),
+    heldConcurrency: z.int().nonnegative(),
+  })),
+});
+export type RenewParams = z.infer<typeof RenewParams>;
--- /dev/null
+++ b/src/regions/renew_result.ts
@@ -0,0 +1,46 @@
+import { z } from "zod";
+import { AssignmentRow } from "../shards/assignment_row.ts";
+import { Unit } from "../shards/unit.ts";
+
+/** Answer to `dispatch.renew`. */
+export const RenewResult = z.discriminatedUnion("kind", [
+  z.looseObject({
+    kind: z.literal("granted"),
+    coordinatorEpoch: z.int().positive(),
+    /** Counted by the router from the sending of its request. */
+    ttlMs: z.number().positive(),
+    /** Every tenure that the router holds from now on. */
+    tenures: z.array(z.object({
+      service: z.string(),
+      upstream: z.string(),
+      address: z.string(),
+      epoch: z.int().positive(),
+    })),
+    /** Tenures to end: drain, then report under `ended`. */
+    endTenures: z.array(z.object({
+      service: z.string(),
+      upstream: z.string(),
+    })),
+    /** Units to release, complete for each call. */
+    releases: z.array(z.object({
+      service: z.string(),
+      upstream: z.string(),
+      units: z.array(Unit),
+    })),
+    /** Limit shares, valid as long as the lease. */
+    shares: z.array(z.object({
+      entry: z.string(),
+      ratePerS: z.number().nonnegative(),
+      concurrency: z.int().nonnegative(),
+    })),
+    /** Assignment rows that are newer than those the router has. */
+    rows: z.array(z.object({
+      revision: z.int().positive(),
+      row: AssignmentRow,
+    })),
+  }),
+  z.looseObject({
+    kind: z.literal("not_coordinator"),
+  }),
+]);
+export type RenewResult = z.infer<typeof RenewResult>;
--- /dev/null
+++ b/src/shards/assignment_view.ts
@@ -0,0 +1,42 @@
+import { ChangeNotifier } from "../base/change_notifier.ts";
+import type { AssignmentRow } from "./assignment_row.ts";
+
+type HeldRow = { revision: number; row: AssignmentRow };
+
+/** The newest assignment rows that this router knows, of every region. */
+export class AssignmentView {
+  readonly changed = new ChangeNotifier();
+  readonly #rows = new Map<string, HeldRow>();
+
+  /**
+   * @param region - region of the row
+   * @param service - service of the row
+   * @returns the newest known row, or undefined
+   */
+  get(region: string, service: string): HeldRow | undefined {
+    return this.#rows.get(`${region}/${service}`);
+  }
+
+  /**
+   * @returns every known row
+   */
+  all(): HeldRow[] {
+    return [...this.#rows.values()];
+  }
+
+  /**
+   * Adopts a row unless a newer one is known.
+   *
+   * @param revision - the table service's revision of the row
+   * @param row - the row
+   * @returns whether the row was adopted
+   */
+  adopt(revision: number, row: AssignmentRow): boolean {
+    const key = `${row.region}/${row.service}`;
+    const known = this.#rows.get(key);
+    if (known !== undefined && known.revision >= revision) return false;
+    this.#rows.set(key, { revision, row });
+    this.changed.notify();
+    return true;
+  }
+}
--- /dev/null
+++ b/src/vms/member_row.ts
@@ -0,0 +1,16 @@
+import { z } from "zod";
+
+/** Row `members/<vm>` of the table service, written by the router itself. */
+export const MemberRow = z.looseObject({
+  schema: z.literal(1),
+  vm: z.string(),
+  /** Random for each process start; tells a restarted router from its past. */
+  incarnation: z.string(),
+  region: z.string(),
+  failureDomain: z.string(),
+  /** Base URL of the peer listener, e.g. `http://10.0.0.4:8081`. */
+  peerUrl: z.string(),
+  /** VMs that vouch for a store outage, see the design page, section 7. */
+  witnesses: z.array(z.string()),
+});
+export type MemberRow = z.infer<typeof MemberRow>;
