--- a/src/vms/catalogue_status.ts
+++ b/src/vms/catalogue_status.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { StoreMode } from "./store_mode.ts";
 
 /** Answer to `catalogue.status`. */
 export const CatalogueStatus = z.looseObject({
@@ -6,6 +7,6 @@
   incarnation: z.string(),
   /** Version in force; 0 before the first. */
   version: z.int().nonnegative(),
-  mode: z.enum(["starting", "current", "outage", "cut_off"]),
+  mode: StoreMode,
 });
 export type CatalogueStatus = z.infer<typeof CatalogueStatus>;
