--- /dev/null
+++ b/dev/deployment/deployment.ts
@@ -0,0 +1,305 @@
+import { createHash, randomBytes } from "node:crypto";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request } from "undici";
+import { stringify } from "yaml";
+import type { ListedVm } from "../../src/contracts/listed_vm.ts";
+import { catalogueFor } from "./catalogue_for.ts";
+import { control } from "./control.ts";
+import { freePorts } from "./free_ports.ts";
+import { ManagedProcess } from "./managed_process.ts";
+import type { Preset } from "./preset.ts";
+import { waitUntil } from "./wait_until.ts";
+
+const START_TIMEOUT_MS = 30_000;
+const DOMAIN_LETTERS = ["a", "b", "c", "d"];
+const PORTS_PER_ROUTER = 3;
+
+type RouterProcess = {
+  vm: string;
+  region: string;
+  failureDomain: string;
+  callersUrl: string;
+  peersUrl: string;
+  adminUrl: string;
+  process: ManagedProcess;
+};
+
+type UpstreamProcess = {
+  id: string;
+  service: string;
+  region: string;
+  failureDomain: string;
+  address: string;
+  process: ManagedProcess;
+};
+
+type Options = {
+  preset: Preset;
+  /** Added to the settings of every router, for experiments. */
+  settings?: Record<string, unknown>;
+  /** Added to the options of every upstream stand-in. */
+  upstream?: Record<string, unknown>;
+  seed?: number;
+};
+
+/** A whole deployment as processes on loopback, for the demo and the bench. */
+export class Deployment {
+  readonly dir = mkdtempSync(join(tmpdir(), "fescuerun-"));
+  readonly credentialFile = join(this.dir, "operator-credential");
+  readonly routers: RouterProcess[] = [];
+  readonly upstreams: UpstreamProcess[] = [];
+  platformUrl = "";
+  readonly #operatorCredential = randomBytes(16).toString("hex");
+  #platform: ManagedProcess | undefined;
+
+  private constructor(private readonly options: Options) {
+    writeFileSync(this.credentialFile, this.#operatorCredential);
+    writeFileSync(
+      join(this.dir, "peer-credential"),
+      randomBytes(16).toString("hex"),
+    );
+  }
+
+  /**
+   * Starts everything and applies the preset's catalogue.
+   *
+   * @param options - preset and variations
+   * @returns the deployment once every router is ready
+   */
+  static async start(options: Options): Promise<Deployment> {
+    const deployment = new Deployment(options);
+    await deployment.#startPlatform();
+    await deployment.#startUpstreams();
+    await deployment.#startRouters();
+    await deployment.applyCatalogue(catalogueFor(options.preset));
+    await Promise.all(
+      deployment.routers.map((router) =>
+        waitUntil(`readiness of ${router.vm}`, START_TIMEOUT_MS, async () => {
+          const res = await request(`${router.callersUrl}/-/ready`);
+          await res.body.dump();
+          return res.statusCode === 200;
+        })
+      ),
+    );
+    return deployment;
+  }
+
+  /**
+   * @param document - catalogue document to put in force
+   */
+  async applyCatalogue(document: unknown): Promise<void> {
+    const file = join(this.dir, "catalogue.yaml");
+    writeFileSync(file, stringify(document));
+    const router = this.routers[0];
+    if (router === undefined) throw new Error("the preset has no router");
+    await waitUntil(`admin interface`, START_TIMEOUT_MS, async () => {
+      const code = await this.client("catalogue", "apply", file);
+      return code === 0;
+    });
+  }
+
+  /**
+   * Runs the operators' client against the first router.
+   *
+   * @param args - arguments of the client
+   * @returns its exit code
+   */
+  async client(...args: string[]): Promise<number | null> {
+    const child = new ManagedProcess(
+      [
+        "dist/fescuerun.cjs",
+        ...args,
+        "--admin",
+        this.routers[0]?.adminUrl ?? "",
+        "--credential-file",
+        this.credentialFile,
+      ],
+      join(this.dir, "client.log"),
+    );
+    child.start();
+    return child.ended();
+  }
+
+  /** Ends all processes and removes the directory. */
+  async stop(): Promise<void> {
+    const processes = [...this.routers, ...this.upstreams]
+      .map((one) => one.process);
+    if (this.#platform !== undefined) processes.push(this.#platform);
+    for (const one of processes) one.signal("SIGKILL");
+    await Promise.all(processes.map((one) => one.ended()));
+    rmSync(this.dir, { recursive: true, force: true });
+  }
+
+  /**
+   * Publishes the VM list as it is now.
+   *
+   * @param leaving - ids of VMs that are listed as leaving
+   */
+  async publishVms(leaving: readonly string[] = []): Promise<void> {
+    const state = (id: string): ListedVm["state"] =>
+      leaving.includes(id) ? "leaving" : "live";
+    const vms: ListedVm[] = [
+      ...this.upstreams.map((one) => ({
+        id: one.id,
+        kind: "upstream" as const,
+        address: one.address,
+        service: one.service,
+        region: one.region,
+        failureDomain: one.failureDomain,
+        state: state(one.id),
+      })),
+      ...this.routers.map((one) => ({
+        id: one.vm,
+        kind: "entry" as const,
+        address: one.callersUrl.replace("http://", ""),
+        region: one.region,
+        failureDomain: one.failureDomain,
+        state: state(one.vm),
+      })),
+    ];
+    await control(`${this.platformUrl}/control/vms`, vms);
+  }
+
+  #domains(): { region: string; failureDomain: string }[] {
+    const { regions, domainsPerRegion } = this.options.preset;
+    return regions.flatMap((region) =>
+      DOMAIN_LETTERS.slice(0, domainsPerRegion)
+        .map((letter) => ({ region, failureDomain: `${region}-${letter}` }))
+    );
+  }
+
+  async #startPlatform(): Promise<void> {
+    const [port = 0] = await freePorts(1);
+    this.platformUrl = `http://127.0.0.1:${port}`;
+    this.#platform = new ManagedProcess(
+      ["dist/standins.cjs", "platform", "--port", String(port)],
+      join(this.dir, "platform.log"),
+    );
+    this.#platform.start();
+    await waitUntil("platform stand-in", START_TIMEOUT_MS, async () => {
+      await control(`${this.platformUrl}/control/counts`);
+      return true;
+    });
+  }
+
+  async #startUpstreams(): Promise<void> {
+    for (const { region, failureDomain } of this.#domains()) {
+      for (const service of this.options.preset.services) {
+        const ports = await freePorts(service.upstreamsPerDomain);
+        for (const [index, port] of ports.entries()) {
+          const id = `${service.name}-${failureDomain}-${index + 1}`;
+          const options = {
+            id,
+            service: service.name,
+            slots: service.slots,
+            serviceMs: service.serviceMs,
+            checksGrants: service.checksGrants,
+            seed: (this.options.seed ?? 1) + this.upstreams.length,
+            ...this.options.upstream,
+          };
+          const process = new ManagedProcess(
+            [
+              "dist/standins.cjs",
+              "upstream",
+              "--port",
+              String(port),
+              "--options",
+              JSON.stringify(options),
+            ],
+            join(this.dir, `${id}.log`),
+          );
+          process.start();
+          this.upstreams.push({
+            id,
+            service: service.name,
+            region,
+            failureDomain,
+            address: `127.0.0.1:${port}`,
+            process,
+          });
+        }
+      }
+    }
+    await Promise.all(
+      this.upstreams.map((one) =>
+        waitUntil(one.id, START_TIMEOUT_MS, async () => {
+          await control(`http://${one.address}/load`);
+          return true;
+        })
+      ),
+    );
+  }
+
+  async #startRouters(): Promise<void> {
+    const count = this.options.preset.routersPerDomain;
+    for (const { region, failureDomain } of this.#domains()) {
+      const ports = await freePorts(count * PORTS_PER_ROUTER);
+      for (let index = 0; index < count; index += 1) {
+        const [callers = 0, peers = 0, admin = 0] = ports.splice(
+          0,
+          PORTS_PER_ROUTER,
+        );
+        this.#addRouter({
+          vm: `entry-${failureDomain}-${index + 1}`,
+          region,
+          failureDomain,
+          ports: { callers, peers, admin },
+        });
+      }
+    }
+    await this.publishVms();
+    for (const router of this.routers) router.process.start();
+  }
+
+  #addRouter(router: {
+    vm: string;
+    region: string;
+    failureDomain: string;
+    ports: { callers: number; peers: number; admin: number };
+  }): void {
+    const { vm, region, failureDomain, ports } = router;
+    const file = join(this.dir, `${vm}.yaml`);
+    writeFileSync(
+      file,
+      stringify({
+        schema: 1,
+        vm,
+        region,
+        failureDomain,
+        listen: {
+          callers: `127.0.0.1:${ports.callers}`,
+          peers: `127.0.0.1:${ports.peers}`,
+          admin: `127.0.0.1:${ports.admin}`,
+        },
+        platform: {
+          tableService: this.platformUrl,
+          objectStore: this.platformUrl,
+          vmList: this.platformUrl,
+        },
+        peers: { credentialFile: join(this.dir, "peer-credential") },
+        admin: {
+          operators: [{
+            name: "operator",
+            sha256: createHash("sha256").update(this.#operatorCredential)
+              .digest("hex"),
+          }],
+        },
+        ...this.options.settings,
+      }),
+    );
+    this.routers.push({
+      vm,
+      region,
+      failureDomain,
+      callersUrl: `http://127.0.0.1:${ports.callers}`,
+      peersUrl: `http://127.0.0.1:${ports.peers}`,
+      adminUrl: `http://127.0.0.1:${ports.admin}`,
+      process: new ManagedProcess(
+        ["dist/fescuerun.cjs", "serve", "--config", file],
+        join(this.dir, `${vm}.log`),
+      ),
+    });
+  }
+}
--- /dev/null
+++ b/dev/standins/platform_standin.ts
@@ -0,0 +1,147 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import { systemClock } from "../../src/base/system_clock.ts";
+import { ListedVm } from "../../src/contracts/listed_vm.ts";
+import { TableTransaction } from "../../src/contracts/table_transaction.ts";
+import { listenOn } from "./listen_on.ts";
+import { PlatformFaults } from "./platform_faults.ts";
+import { readBody } from "./read_body.ts";
+import { sendJson } from "./send_json.ts";
+import { TableStore } from "./table_store.ts";
+
+const OBJECT_PREFIX = "/v1/objects/";
+
+/**
+ * Stand-in for the platform's table service, object store and VM list on one
+ * loopback port. `POST /control/faults` sets faults, `POST /control/vms` the VM
+ * list, `GET /control/counts` reads how often the table service was called.
+ */
+export class PlatformStandin {
+  readonly table = new TableStore();
+  readonly #objects = new Map<string, Buffer>();
+  readonly #server = createServer((req, res) => {
+    this.#serve(req, res).catch(() => res.destroy());
+  });
+  #faults = PlatformFaults.parse({});
+  #vms: ListedVm[] = [];
+
+  /**
+   * @param port - loopback port, 0 for one that the system chooses
+   * @returns the base URL of all three services
+   */
+  async start(port = 0): Promise<string> {
+    return `http://127.0.0.1:${await listenOn(this.#server, port)}`;
+  }
+
+  /** Ends the server and all of its connections. */
+  async stop(): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise((resolve) => this.#server.close(resolve));
+  }
+
+  /**
+   * @param faults - replaces the present faults
+   */
+  setFaults(faults: Partial<PlatformFaults>): void {
+    this.#faults = PlatformFaults.parse(faults);
+  }
+
+  /**
+   * @param vms - replaces the VM list
+   */
+  setVms(vms: ListedVm[]): void {
+    this.#vms = vms;
+  }
+
+  async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const url = new URL(req.url ?? "/", "http://platform");
+    const body = await readBody(req);
+    if (url.pathname.startsWith("/control/")) {
+      this.#control(url.pathname, body, res);
+      return;
+    }
+    if (this.#faults.hang) return;
+    await systemClock.sleep(this.#faults.delayMs);
+    const vm = req.headers["fescuerun-vm"];
+    if (typeof vm === "string" && this.#faults.cutOff.includes(vm)) {
+      res.destroy();
+      return;
+    }
+    if (url.pathname === "/v1/vms") {
+      sendJson(res, 200, { vms: this.#vms });
+    } else if (this.#faults.outage) {
+      sendJson(res, 503, { message: "outage" });
+    } else if (url.pathname === "/v1/transact") {
+      this.#transact(body, res);
+    } else if (url.pathname === "/v1/rows") {
+      sendJson(
+        res,
+        200,
+        this.table.readRows({
+          prefix: url.searchParams.get("prefix") ?? "",
+          since: Number(url.searchParams.get("since") ?? 0),
+        }),
+      );
+    } else if (url.pathname.startsWith(OBJECT_PREFIX)) {
+      const name = decodeURIComponent(url.pathname.slice(OBJECT_PREFIX.length));
+      this.#object(req.method ?? "GET", name, body, res);
+    } else {
+      sendJson(res, 404, { message: "unknown path" });
+    }
+  }
+
+  #transact(body: Buffer, res: ServerResponse): void {
+    const parsed = TableTransaction.safeParse(JSON.parse(body.toString()));
+    if (!parsed.success) {
+      sendJson(res, 400, { message: parsed.error.message });
+      return;
+    }
+    const outcome = this.table.transact(parsed.data);
+    if (outcome.committed && this.#faults.loseAnswers > 0) {
+      this.#faults.loseAnswers -= 1;
+      res.destroy();
+      return;
+    }
+    sendJson(res, 200, outcome);
+  }
+
+  #object(
+    method: string,
+    name: string,
+    body: Buffer,
+    res: ServerResponse,
+  ): void {
+    if (method === "PUT") this.#objects.set(name, body);
+    if (method === "DELETE") this.#objects.delete(name);
+    const content = method === "GET"
+      ? this.#objects.get(name)
+      : Buffer.alloc(0);
+    if (content === undefined) {
+      sendJson(res, 404, { message: "no such object" });
+    } else res.writeHead(200).end(content);
+  }
+
+  #control(path: string, body: Buffer, res: ServerResponse): void {
+    const value: unknown = body.length === 0
+      ? undefined
+      : JSON.parse(body.toString());
+    switch (path) {
+      case "/control/faults":
+        this.#faults = PlatformFaults.parse(value);
+        sendJson(res, 200, this.#faults);
+        return;
+      case "/control/vms":
+        this.#vms = ListedVm.array().parse(value);
+        sendJson(res, 200, {});
+        return;
+      case "/control/counts":
+        sendJson(res, 200, this.table.counts);
+        return;
+      default:
+        sendJson(res, 404, { message: "unknown control path" });
+    }
+  }
+}
--- /dev/null
+++ b/dev/standins/upstream_standin.ts
@@ -0,0 +1,266 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { z } from "zod";
+import { systemClock } from "../../src/base/system_clock.ts";
+import { Grant } from "../../src/contracts/grant.ts";
+import { HOP_HEADER } from "../../src/links/hop_header.ts";
+import { listenOn } from "./listen_on.ts";
+import { readBody } from "./read_body.ts";
+import { sendJson } from "./send_json.ts";
+import { UpstreamFaults } from "./upstream_faults.ts";
+import { UpstreamGrants } from "./upstream_grants.ts";
+import { UpstreamJournal } from "./upstream_journal.ts";
+import { UpstreamOptions } from "./upstream_options.ts";
+import { UpstreamTemperature } from "./upstream_temperature.ts";
+
+const STATUS_SHED = 503;
+const STATUS_CONFLICT = 409;
+
+function header(req: IncomingMessage, name: string): string {
+  const value = req.headers[name];
+  return typeof value === "string" ? value : "";
+}
+
+function isGone(res: ServerResponse): boolean {
+  return res.destroyed;
+}
+
+/**
+ * Stand-in for one upstream on a loopback port: slots, fenced grants, cold
+ * start, shedding and faults. Every other path than its own endpoints is work:
+ * it takes effect once after the service time and echoes the request's body.
+ */
+export class UpstreamStandin {
+  readonly journal = new UpstreamJournal();
+  readonly #options: UpstreamOptions;
+  readonly #random: ReturnType<typeof xoroshiro128plus>;
+  readonly #grants = new UpstreamGrants(this.journal);
+  readonly #temperature: UpstreamTemperature;
+  readonly #server = createServer((req, res) => {
+    this.#serve(req, res).catch(() => res.destroy());
+  });
+  readonly #sockets = new Set<Socket>();
+  readonly #silent = new WeakSet<Socket>();
+  readonly #waiting: (() => void)[] = [];
+  #faults = UpstreamFaults.parse({});
+  #running = 0;
+
+  /**
+   * @param options - behaviour
+   */
+  constructor(options: z.input<typeof UpstreamOptions>) {
+    this.#options = UpstreamOptions.parse(options);
+    this.#random = xoroshiro128plus(this.#options.seed);
+    this.#temperature = new UpstreamTemperature({
+      startsCold: this.#options.startsCold,
+      ratePerS: this.#options.coldRatePerS,
+      warmUpMs: this.#options.warmUpMs,
+    });
+    this.#server.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.on("close", () => this.#sockets.delete(socket));
+    });
+  }
+
+  /**
+   * @param port - loopback port, 0 for one that the system chooses
+   * @returns its address as `ip:port`
+   */
+  async start(port = 0): Promise<string> {
+    return `127.0.0.1:${await listenOn(this.#server, port)}`;
+  }
+
+  /** Ends the server and all of its connections. */
+  async stop(): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise((resolve) => this.#server.close(resolve));
+  }
+
+  /**
+   * @param faults - replaces the present faults
+   */
+  setFaults(faults: Partial<UpstreamFaults>): void {
+    this.#faults = UpstreamFaults.parse(faults);
+    if (this.#faults.restartCold) this.#temperature.restart();
+    if (this.#faults.silenceOpenConnections) {
+      for (const socket of this.#sockets) this.#silent.add(socket);
+    }
+  }
+
+  async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const path = (req.url ?? "/").split("?")[0] ?? "/";
+    const body = await readBody(req);
+    if (this.#silent.has(req.socket)) return;
+    switch (path) {
+      case "/health":
+        await systemClock.sleep(this.#options.healthLagMs);
+        sendJson(res, 200, {
+          state: this.#state(),
+          boot: this.#temperature.boot,
+        });
+        return;
+      case "/load":
+        sendJson(res, 200, { load: this.#running / this.#options.slots });
+        return;
+      case "/grants":
+        this.#serveGrants(req, body, res);
+        return;
+      case "/control/faults":
+        this.setFaults(UpstreamFaults.parse(JSON.parse(body.toString())));
+        sendJson(res, 200, this.#faults);
+        return;
+      case "/control/journal":
+        sendJson(res, 200, this.journal);
+        return;
+      default:
+        await this.#work(req, body, res);
+    }
+  }
+
+  #state(): "cold" | "warm" | "draining" {
+    if (this.#faults.draining) return "draining";
+    return this.#temperature.isCold() ? "cold" : "warm";
+  }
+
+  #serveGrants(req: IncomingMessage, body: Buffer, res: ServerResponse): void {
+    if (req.method !== "PUT") {
+      sendJson(res, 200, this.#grants.state());
+      return;
+    }
+    const grant = Grant.safeParse(JSON.parse(body.toString()));
+    if (!grant.success) {
+      sendJson(res, 400, { message: grant.error.message });
+      return;
+    }
+    const accepted = this.#grants.put(grant.data);
+    sendJson(res, accepted ? 200 : STATUS_CONFLICT, this.#grants.state());
+  }
+
+  #refuse(res: ServerResponse, reason: "grant" | "shed" | "draining"): void {
+    if (reason === "grant") this.journal.staleRefusals += 1;
+    sendJson(
+      res,
+      reason === "grant" ? STATUS_CONFLICT : STATUS_SHED,
+      { message: reason },
+      { [HOP_HEADER.notRun]: reason, ...this.#stateHeaders() },
+    );
+  }
+
+  #stateHeaders(): Record<string, string> {
+    return {
+      [HOP_HEADER.boot]: this.#temperature.boot,
+      [HOP_HEADER.state]: this.#state(),
+    };
+  }
+
+  async #work(
+    req: IncomingMessage,
+    body: Buffer,
+    res: ServerResponse,
+  ): Promise<void> {
+    const reason = this.#refusal(req);
+    if (reason !== undefined) {
+      this.#refuse(res, reason);
+      return;
+    }
+    if (!this.#bears()) {
+      // A cold upstream under more load than it bears falls over.
+      this.journal.coldOverloads += 1;
+      this.#temperature.restart();
+      for (const socket of this.#sockets) socket.destroy();
+      return;
+    }
+    const deadlineAt = systemClock.now() +
+      Number(header(req, HOP_HEADER.deadlineMs) || Infinity);
+    await this.#takeSlot();
+    try {
+      if (isGone(res)) return;
+      await systemClock.sleep(this.#serviceMs());
+      if (isGone(res) || systemClock.now() > deadlineAt) {
+        this.#refuse(res, "shed");
+        return;
+      }
+      if (!this.#granted(req)) {
+        this.#refuse(res, "grant");
+        return;
+      }
+      this.journal.recordEffect({
+        id: header(req, "x-test-id"),
+        key: header(req, "x-test-key"),
+        unit: header(req, HOP_HEADER.unit),
+      });
+      this.#answer(req, body, res);
+    } finally {
+      this.#freeSlot();
+    }
+  }
+
+  #refusal(req: IncomingMessage): "draining" | "shed" | "grant" | undefined {
+    if (this.#faults.draining) return "draining";
+    if (this.#faults.shedding) return "shed";
+    return this.#granted(req) ? undefined : "grant";
+  }
+
+  #granted(req: IncomingMessage): boolean {
+    if (!this.#options.checksGrants) return true;
+    return this.#grants.allows(
+      header(req, HOP_HEADER.unit),
+      Number(header(req, HOP_HEADER.epoch)),
+    );
+  }
+
+  #bears(): boolean {
+    if (!this.#temperature.isCold()) return true;
+    const concurrent = this.#running + this.#waiting.length;
+    return concurrent < this.#options.coldConcurrency &&
+      this.#temperature.admit();
+  }
+
+  #answer(req: IncomingMessage, body: Buffer, res: ServerResponse): void {
+    res.writeHead(200, {
+      "content-type": header(req, "content-type") || "text/plain",
+      "content-length": body.length,
+      "x-test-id": header(req, "x-test-id"),
+      "x-served-by": this.#options.id,
+      ...this.#stateHeaders(),
+    });
+    if (!this.#faults.truncating) {
+      res.end(body);
+      return;
+    }
+    res.write(body.subarray(0, Math.floor(body.length / 2)), () => {
+      res.destroy();
+    });
+  }
+
+  #serviceMs(): number {
+    // Exponential service times, since equal ones hide queueing.
+    return -Math.log(1 - uniformFloat64(this.#random)) *
+      this.#options.serviceMs *
+      this.#faults.slowFactor;
+  }
+
+  async #takeSlot(): Promise<void> {
+    if (this.#running >= this.#options.slots) {
+      await new Promise<void>((resolve) => this.#waiting.push(resolve));
+    } else {
+      this.#running += 1;
+    }
+    this.journal.maxConcurrent = Math.max(
+      this.journal.maxConcurrent,
+      this.#running + this.#waiting.length,
+    );
+  }
+
+  #freeSlot(): void {
+    const next = this.#waiting.shift();
+    if (next === undefined) this.#running -= 1;
+    else next();
+  }
+}
--- /dev/null
+++ b/src/base/create_logger.ts
@@ -0,0 +1,19 @@
+import bunyan from "bunyan";
+import type { Logger } from "./logger.ts";
+
+/**
+ * @param cfg - level of the log and identity of the router, which every line
+ * carries
+ * @returns a logger that writes JSON lines to standard output
+ */
+export function createLogger(
+  cfg: { level: bunyan.LogLevelString; vm: string; region: string },
+): Logger {
+  return bunyan.createLogger({
+    name: "fescuerun",
+    level: cfg.level,
+    vm: cfg.vm,
+    region: cfg.region,
+    serializers: { err: bunyan.stdSerializers.err },
+  });
+}
--- /dev/null
+++ b/src/base/statsd_metrics.ts
@@ -0,0 +1,51 @@
+import { StatsD } from "hot-shots";
+import type { Logger } from "./logger.ts";
+import type { Metrics } from "./metrics.ts";
+
+/** Metrics to a StatsD server over UDP, or nowhere without an address. */
+export class StatsdMetrics implements Metrics {
+  readonly #client: StatsD | undefined;
+
+  /**
+   * @param cfg - `address` is `ip:port`; without it nothing is sent
+   * @param log - told of send errors, at debug level since UDP is lossy anyway
+   */
+  constructor(
+    cfg: { address: string | undefined; prefix: string; vm: string },
+    log: Logger,
+  ) {
+    if (cfg.address === undefined) return;
+    const colon = cfg.address.lastIndexOf(":");
+    const host = cfg.address.slice(0, colon);
+    const port = cfg.address.slice(colon + 1);
+    this.#client = new StatsD({
+      host,
+      port: Number(port),
+      prefix: cfg.prefix,
+      globalTags: { vm: cfg.vm },
+      // A metrics packet every 100 ms keeps the cost of a request low.
+      maxBufferSize: 1400,
+      bufferFlushInterval: 100,
+      errorHandler: (err) => log.debug({ err }, "metrics were not sent"),
+    });
+  }
+
+  increment(name: string, value: number, tags: Record<string, string>): void {
+    this.#client?.increment(name, value, tags);
+  }
+
+  gauge(name: string, value: number, tags: Record<string, string>): void {
+    this.#client?.gauge(name, value, tags);
+  }
+
+  timing(name: string, ms: number, tags: Record<string, string>): void {
+    this.#client?.timing(name, ms, tags);
+  }
+
+  /** Sends what is buffered and closes the socket. */
+  close(): Promise<void> {
+    const client = this.#client;
+    if (client === undefined) return Promise.resolve();
+    return new Promise((resolve) => client.close(() => resolve()));
+  }
+}
