--- /dev/null
+++ b/dev/bench/push_figures.ts
@@ -0,0 +1,19 @@
+import type { BenchReport } from "./bench_report.ts";
+
+/**
+ * Adds the figures of one run to an arm.
+ *
+ * @param arms - arms of the report, changed in place
+ * @param arm - name of the arm
+ * @param figures - one value of each figure
+ */
+export function pushFigures(
+  arms: BenchReport["arms"],
+  arm: string,
+  figures: Record<string, number>,
+): void {
+  const known = arms[arm] ??= {};
+  for (const [figure, value] of Object.entries(figures)) {
+    (known[figure] ??= []).push(value);
+  }
+}
--- /dev/null
+++ b/dev/bench/stragglers.ts
@@ -0,0 +1,165 @@
+import { systemClock } from "../../src/base/system_clock.ts";
+import { control } from "../deployment/control.ts";
+import { Deployment } from "../deployment/deployment.ts";
+import { PRESETS } from "../deployment/presets.ts";
+import { addCounts } from "./add_counts.ts";
+import { BaselineRouter } from "./baseline_router.ts";
+import type { Bench } from "./bench.ts";
+import type { BenchReport } from "./bench_report.ts";
+import type { CallResult } from "./call_result.ts";
+import { LoadGenerator } from "./load_generator.ts";
+import { percentile } from "./percentile.ts";
+import { pushFigures } from "./push_figures.ts";
+import { readUpstreams } from "./read_upstreams.ts";
+import { countViolations } from "./violations.ts";
+
+const BOUND_MS = 16;
+const SLOW_FACTOR = 10;
+const SLOWED_COUNTS = [0, 1, 3];
+const KEY_COUNT = 5000;
+/** About a quarter of what 12 upstreams with 2 slots and 4 ms serve. */
+const RATE_PER_S = 1500;
+const SETTLE_MS = 4000;
+const MEASURE_MS = 5000;
+const BASELINE_ROUTERS = 4;
+
+/**
+ * Time beyond the service's own, with one region, so that no hop crosses
+ * regions.
+ */
+const PRESET = {
+  ...PRESETS.trituradoras,
+  regions: ["sierra"],
+  services: PRESETS.trituradoras.services
+    .filter(({ name }) => name !== "bookings")
+    .map((service) => ({
+      ...service,
+      checksGrants: false,
+      upstreamsPerDomain: 6,
+    })),
+};
+
+function addedMs(result: CallResult): number {
+  return result.endedAt - result.startedAt - result.serviceMs;
+}
+
+async function measure(
+  run: { urls: readonly string[]; service: string; seed: number },
+): Promise<{ measured: CallResult[]; all: CallResult[] }> {
+  const load = new LoadGenerator({
+    urls: run.urls,
+    entries: [run.service],
+    keys: Array.from({ length: KEY_COUNT }, (_, index) => `key-${index}`),
+    ratePerS: RATE_PER_S,
+    seed: run.seed,
+  });
+  load.start();
+  await systemClock.sleep(SETTLE_MS);
+  const from = systemClock.now();
+  await systemClock.sleep(MEASURE_MS);
+  const all = await load.stop();
+  return { all, measured: all.filter(({ startedAt }) => startedAt >= from) };
+}
+
+function figuresOf(results: readonly CallResult[]): Record<string, number> {
+  const served = results.filter(({ status }) => status === 200).map(addedMs);
+  return {
+    p50Ms: percentile(served, 0.5),
+    p99Ms: percentile(served, 0.99),
+    p999Ms: percentile(served, 0.999),
+    failed: results.length - served.length,
+  };
+}
+
+async function runOnce(report: BenchReport, seed: number): Promise<void> {
+  const deployment = await Deployment.start({ preset: PRESET, seed });
+  try {
+    for (const { name: service } of PRESET.services) {
+      const upstreams = deployment.upstreams
+        .filter((one) => one.service === service);
+      const baselines = Array.from(
+        { length: BASELINE_ROUTERS },
+        () => new BaselineRouter(upstreams.map(({ address }) => address)),
+      );
+      const baselineUrls = await Promise.all(
+        baselines.map((one) => one.start()),
+      );
+      for (const slowed of SLOWED_COUNTS) {
+        for (const [index, { address }] of upstreams.entries()) {
+          await control(`http://${address}/control/faults`, {
+            slowFactor: index < slowed ? SLOW_FACTOR : 1,
+          });
+        }
+        const ours = await measure({
+          urls: deployment.routers.map(({ callersUrl }) => callersUrl),
+          service,
+          seed,
+        });
+        const baseline = await measure({ urls: baselineUrls, service, seed });
+        const arm = `${service}, ${slowed} slowed`;
+        pushFigures(report.arms, `router: ${arm}`, figuresOf(ours.measured));
+        pushFigures(
+          report.arms,
+          `baseline: ${arm}`,
+          figuresOf(baseline.measured),
+        );
+        addCounts(
+          report.violations,
+          countViolations({
+            results: ours.all,
+            upstreams: await readUpstreams(deployment),
+          }),
+        );
+      }
+      await Promise.all(baselines.map((one) => one.stop()));
+    }
+  } finally {
+    await deployment.stop();
+  }
+}
+
+function judge(report: BenchReport): void {
+  for (const { name: service } of PRESET.services) {
+    for (const slowed of SLOWED_COUNTS) {
+      const arm = `${service}, ${slowed} slowed`;
+      const ours = report.arms[`router: ${arm}`]?.p99Ms ?? [];
+      const baseline = report.arms[`baseline: ${arm}`]?.p99Ms ?? [];
+      const worst = Math.max(...ours);
+      report.bounds.push({
+        figure: `p99 beyond the service time, ${arm}`,
+        bound: `at most ${BOUND_MS} ms, worst ${worst.toFixed(1)} ms`,
+        ok: worst <= BOUND_MS,
+      });
+      if (slowed === 0) continue;
+      report.bounds.push({
+        figure: `p99 against the baseline, ${arm}`,
+        bound: "below it in every repetition",
+        ok: ours.every((value, index) => value < (baseline[index] ?? 0)),
+      });
+    }
+  }
+}
+
+/** Tail latency while some upstreams are slowed, against the baseline. */
+export const stragglersBench: Bench = {
+  name: "stragglers",
+  summary: "tail latency with 0, 1 and 3 upstreams slowed 10 times",
+  async run({ seed, repetitions }) {
+    const report: BenchReport = {
+      name: "stragglers",
+      seed,
+      arms: {},
+      bounds: [],
+      violations: {},
+      notes: [
+        `${RATE_PER_S} requests/s on 12 upstreams, 4 routers; the baseline ` +
+        "runs in the load generator's process",
+      ],
+    };
+    for (let repetition = 0; repetition < repetitions; repetition += 1) {
+      await runOnce(report, seed + repetition);
+    }
+    judge(report);
+    return report;
+  },
+};
--- /dev/null
+++ b/dev/bench/throughput.ts
@@ -0,0 +1,115 @@
+import { systemClock } from "../../src/base/system_clock.ts";
+import { Deployment } from "../deployment/deployment.ts";
+import { PRESETS } from "../deployment/presets.ts";
+import { addCounts } from "./add_counts.ts";
+import type { Bench } from "./bench.ts";
+import type { BenchReport } from "./bench_report.ts";
+import { cpuSeconds } from "./cpu_seconds.ts";
+import { LoadGenerator } from "./load_generator.ts";
+import { percentile } from "./percentile.ts";
+import { pushFigures } from "./push_figures.ts";
+import { readUpstreams } from "./read_upstreams.ts";
+import { countViolations } from "./violations.ts";
+
+const BOUND_PER_CORE = 2500;
+const BOUND_P99_MS = 16;
+const RATE_PER_S = 2500;
+const KEY_COUNT = 5000;
+const SETTLE_MS = 3000;
+const MEASURE_MS = 6000;
+
+const PRESET = {
+  ...PRESETS.trituradoras,
+  regions: ["sierra"],
+  routersPerDomain: 1,
+  services: [{
+    name: "usage",
+    keyed: true,
+    checksGrants: true,
+    upstreamsPerDomain: 4,
+    slots: 16,
+    connections: 130,
+    serviceMs: 1,
+  }],
+};
+
+async function runOnce(report: BenchReport, seed: number): Promise<void> {
+  const deployment = await Deployment.start({ preset: PRESET, seed });
+  try {
+    const load = new LoadGenerator({
+      urls: deployment.routers.map(({ callersUrl }) => callersUrl),
+      entries: ["usage"],
+      keys: Array.from({ length: KEY_COUNT }, (_, index) => `key-${index}`),
+      ratePerS: RATE_PER_S,
+      seed,
+    });
+    const pids = deployment.routers.flatMap(({ process }) => process.pid ?? []);
+    const cpu = () => pids.reduce((sum, pid) => sum + cpuSeconds(pid), 0);
+    load.start();
+    await systemClock.sleep(SETTLE_MS);
+    const from = systemClock.now();
+    const cpuBefore = cpu();
+    await systemClock.sleep(MEASURE_MS);
+    const cpuUsed = cpu() - cpuBefore;
+    const to = systemClock.now();
+    const results = await load.stop();
+    const measured = results.filter(({ startedAt, status }) =>
+      startedAt >= from && startedAt < to && status === 200
+    );
+    const added = measured.map((one) =>
+      one.endedAt - one.startedAt - one.serviceMs
+    );
+    pushFigures(report.arms, "two routers, half of the requests hop", {
+      perCorePerS: measured.length / cpuUsed,
+      servedPerS: measured.length * 1000 / (to - from),
+      p50AddedMs: percentile(added, 0.5),
+      p99AddedMs: percentile(added, 0.99),
+      failed: results.filter(({ status }) => status !== 200).length,
+    });
+    addCounts(
+      report.violations,
+      countViolations({
+        results,
+        upstreams: await readUpstreams(deployment),
+      }),
+    );
+  } finally {
+    await deployment.stop();
+  }
+}
+
+/** Requests for each core of the routers, and added latency. */
+export const throughputBench: Bench = {
+  name: "throughput",
+  summary: "requests/s for each core of the routers and added latency",
+  async run({ seed, repetitions }) {
+    const report: BenchReport = {
+      name: "throughput",
+      seed,
+      arms: {},
+      bounds: [],
+      violations: {},
+      notes: [
+        "a core is a second of processor time of the router processes; a " +
+        "request that hops counts the time of both routers",
+      ],
+    };
+    for (let repetition = 0; repetition < repetitions; repetition += 1) {
+      await runOnce(report, seed + repetition);
+    }
+    for (const figures of Object.values(report.arms)) {
+      const least = Math.min(...figures.perCorePerS ?? []);
+      const slowest = Math.max(...figures.p99AddedMs ?? []);
+      report.bounds.push({
+        figure: "requests/s for each core",
+        bound: `at least ${BOUND_PER_CORE}, least ${least.toFixed(0)}`,
+        ok: least >= BOUND_PER_CORE,
+      }, {
+        figure: "p99 beyond the service time",
+        bound: `at most ${BOUND_P99_MS} ms, worst ${slowest.toFixed(1)} ms`,
+        ok: slowest <= BOUND_P99_MS,
+      });
+    }
+    return report;
+  },
+};
--- a/dev/standins/upstream_standin.ts
+++ b/dev/standins/upstream_standin.ts
@@ -181,7 +181,8 @@
     await this.#takeSlot();
     try {
       if (isGone(res)) return;
-      await systemClock.sleep(this.#serviceMs());
+      const serviceMs = this.#serviceMs();
+      await systemClock.sleep(serviceMs * this.#faults.slowFactor);
       if (isGone(res) || systemClock.now() > deadlineAt) {
         this.#refuse(res, "shed");
         return;
@@ -195,7 +196,7 @@
         key: header(req, "x-test-key"),
         unit: header(req, HOP_HEADER.unit),
       });
-      this.#answer(req, body, res);
+      this.#answer(req, body, res, serviceMs);
     } finally {
       this.#freeSlot();
     }
@@ -222,12 +223,19 @@
       this.#temperature.admit();
   }
 
-  #answer(req: IncomingMessage, body: Buffer, res: ServerResponse): void {
+  #answer(
+    req: IncomingMessage,
+    body: Buffer,
+    res: ServerResponse,
+    serviceMs: number,
+  ): void {
     res.writeHead(200, {
       "content-type": header(req, "content-type") || "text/plain",
       "content-length": body.length,
       "x-test-id": header(req, "x-test-id"),
       "x-served-by": this.#options.id,
+      // The service's own time without a straggler's slowdown.
+      "x-service-ms": String(serviceMs),
       ...this.#stateHeaders(),
     });
     if (!this.#faults.truncating) {
