--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,10 +1,15 @@
+import { isIP } from "node:net";
 import { z } from "zod";
 import { Name } from "../catalogue/name.ts";
 
-const Address = z.string().regex(
-  /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
-  "must be IP:PORT, e.g. 10.0.0.4:8080",
-);
+const MAX_PORT = 65535;
+const ADDRESS_PATTERN =
+  /^(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})$/;
+const Address = z.string().refine((address) => {
+  const [, host = "", port = ""] = ADDRESS_PATTERN.exec(address) ?? [];
+  return isIP(host.replace(/^\[(.*)\]$/, "$1")) !== 0 &&
+    Number(port) <= MAX_PORT;
+}, "must be IP:PORT, e.g. 10.0.0.4:8080");
 const Url = z.url({ protocol: /^http$/ });
 const Ms = z.int().positive();
 const Sha256 = z.string().regex(
