feat(catalogue): check, diff, match and edit the catalogue

Matching and key extraction divide the path the same way, decoded, so that an encoded path cannot evade its entry. The editor settles a lost answer by reading the history row back and sending the same transaction again. Stored records keep fields that a newer router added.

--- /dev/null
+++ b/src/catalogue/catalogue_editor.ts
@@ -0,0 +1,278 @@
+import { randomUUID } from "node:crypto";
+import { err, ok, type Result } from "neverthrow";
+import { auditKey } from "../admin/audit_key.ts";
+import type { AuditRow } from "../admin/audit_row.ts";
+import type { Clock } from "../base/clock.ts";
+import type { Logger } from "../base/logger.ts";
+import type { TableService } from "../contracts/table_service.ts";
+import type { TableTransaction } from "../contracts/table_transaction.ts";
+import type { CatalogueEdit } from "./catalogue_edit.ts";
+import { catalogueKeys } from "./catalogue_keys.ts";
+import type { CatalogueRow } from "./catalogue_row.ts";
+import { checkCatalogue } from "./check_catalogue.ts";
+import type { EditError } from "./edit_error.ts";
+import { readCatalogue } from "./read_catalogue.ts";
+import { withDeadline } from "./with_deadline.ts";
+
+/** Longest wait for one answer of the table service. */
+const TABLE_TIMEOUT_MS = 2000;
+/** Longest time to find out whether a write with a lost answer took effect. */
+const SETTLE_MS = 8000;
+const SETTLE_PAUSE_MS = 200;
+
+type Deps = {
+  table: TableService;
+  clock: Clock;
+  logger: Logger;
+  /** Name of this router's VM, for the audit trail. */
+  vm: string;
+};
+
+type Prepared = { row: CatalogueRow; transaction: TableTransaction };
+
+/** Makes catalogue changes in the table service. */
+export class CatalogueEditor {
+  readonly #deps: Deps;
+
+  /**
+   * @param deps - table service, clock, log and the name of this VM
+   */
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /**
+   * @param signal - gives up waiting
+   * @returns the stored catalogue and its revision, or why it cannot be had
+   */
+  read(
+    signal: AbortSignal,
+  ): Promise<
+    Result<{ revision: number; row: CatalogueRow | undefined }, EditError>
+  > {
+    return this.#readKey(catalogueKeys.current, signal);
+  }
+
+  /**
+   * Writes the new document, its history row and the audit row in one
+   * transaction. Failed attempts get an audit row as well, when the table
+   * service takes it.
+   *
+   * @param edit - the change
+   * @param signal - ends the attempt; the outcome may then be `unknown`
+   * @returns the committed row, or why there is none
+   */
+  async apply(
+    edit: CatalogueEdit,
+    signal: AbortSignal,
+  ): Promise<Result<CatalogueRow, EditError>> {
+    const problems = checkCatalogue(edit.document);
+    const result = problems.length > 0
+      ? err<CatalogueRow, EditError>({ kind: "invalid", problems })
+      : await this.#commit(edit, signal);
+    if (result.isErr()) await this.#auditFailure(edit, result.error, signal);
+    return result;
+  }
+
+  async #commit(
+    edit: CatalogueEdit,
+    signal: AbortSignal,
+  ): Promise<Result<CatalogueRow, EditError>> {
+    const read = await this.read(signal);
+    if (read.isErr()) return err(read.error);
+    const { revision, row: current } = read.value;
+    if ((current?.version ?? 0) !== edit.expectedVersion) {
+      return err(conflictWith(current));
+    }
+    const prepared = this.#prepare(edit, revision, current);
+    return await this.#transact(prepared, signal);
+  }
+
+  #prepare(
+    edit: CatalogueEdit,
+    revision: number,
+    current: CatalogueRow | undefined,
+  ): Prepared {
+    const time = this.#deps.clock.wallTime();
+    const version = edit.expectedVersion + 1;
+    const row: CatalogueRow = {
+      // Fields that a newer router added to the row stay as they are.
+      ...current,
+      schema: 1,
+      version,
+      author: edit.author,
+      at: time.toISOString(),
+      writeId: randomUUID(),
+      document: edit.document,
+    };
+    const audit: AuditRow = {
+      ...this.#auditBase(edit, time),
+      toVersion: version,
+      outcome: "committed",
+      details: edit.details,
+    };
+    return {
+      row,
+      transaction: {
+        conditions: [
+          { key: catalogueKeys.current, revision },
+          // Refuses to reuse a version if the current row was ever deleted.
+          { key: catalogueKeys.history(version), revision: 0 },
+        ],
+        writes: [
+          { key: catalogueKeys.current, value: row },
+          { key: catalogueKeys.history(version), value: row },
+          { key: auditKey(time, randomUUID()), value: audit },
+        ],
+      },
+    };
+  }
+
+  /**
+   * Sends the transaction. After a lost answer it reads back; while nothing is
+   * found the same transaction is sent again, which its conditions make safe:
+   * it takes effect at most once, and a delayed first copy cannot follow.
+   */
+  async #transact(
+    { row, transaction }: Prepared,
+    signal: AbortSignal,
+  ): Promise<Result<CatalogueRow, EditError>> {
+    const { table, clock, logger } = this.#deps;
+    const giveUpAt = clock.now() + SETTLE_MS;
+    let lost: string | undefined;
+    for (;;) {
+      const answer = await this.#timed(
+        signal,
+        (inner) => table.transact(transaction, inner),
+      );
+      if (answer.isOk()) {
+        if (answer.value.committed) return ok(row);
+        const settled = await this.#settleConflict(row, signal);
+        if (settled !== undefined) return settled;
+      } else if (answer.error.kind === "unavailable" && lost === undefined) {
+        return err({ kind: "unavailable", message: answer.error.message });
+      } else {
+        lost = answer.error.message;
+        logger.warn(
+          { code: "catalogue_answer_lost", version: row.version },
+          "answer to a catalogue write was lost, reading back",
+        );
+        const settled = await this.#readBack(row, signal);
+        if (settled !== undefined) return settled;
+      }
+      if (signal.aborted || clock.now() >= giveUpAt) {
+        return err({
+          kind: "unknown",
+          version: row.version,
+          message: lost ?? "the winning change could not be read",
+        });
+      }
+      await clock.sleep(SETTLE_PAUSE_MS, signal);
+    }
+  }
+
+  /**
+   * @returns the outcome, or undefined while the row is neither there nor
+   * replaced by another's
+   */
+  async #readBack(
+    row: CatalogueRow,
+    signal: AbortSignal,
+  ): Promise<Result<CatalogueRow, EditError> | undefined> {
+    // History rows are never replaced, so that our write is still visible when
+    // another change has followed.
+    const read = await this.#readKey(
+      catalogueKeys.history(row.version),
+      signal,
+    );
+    if (read.isErr() || read.value.row === undefined) return undefined;
+    const found = read.value.row;
+    return found.writeId === row.writeId ? ok(row) : err(conflictWith(found));
+  }
+
+  /** Names who won; the own write may have won before its answer was lost. */
+  async #settleConflict(
+    row: CatalogueRow,
+    signal: AbortSignal,
+  ): Promise<Result<CatalogueRow, EditError> | undefined> {
+    const settled = await this.#readBack(row, signal);
+    if (settled !== undefined) return settled;
+    const current = await this.read(signal);
+    if (current.isErr()) {
+      return current.error.kind === "unreadable"
+        ? err(current.error)
+        : undefined;
+    }
+    return err(conflictWith(current.value.row));
+  }
+
+  #readKey(key: string, signal: AbortSignal) {
+    const { table } = this.#deps;
+    return this.#timed(signal, (inner) => readCatalogue(table, key, inner));
+  }
+
+  #timed<T>(
+    signal: AbortSignal,
+    run: (signal: AbortSignal) => PromiseLike<T>,
+  ): Promise<T> {
+    const { clock } = this.#deps;
+    return withDeadline({ clock, ms: TABLE_TIMEOUT_MS, signal }, run);
+  }
+
+  #auditBase(edit: CatalogueEdit, time: Date) {
+    return {
+      schema: 1 as const,
+      at: time.toISOString(),
+      actor: edit.author,
+      action: edit.action,
+      vm: this.#deps.vm,
+      fromVersion: edit.expectedVersion,
+    };
+  }
+
+  async #auditFailure(
+    edit: CatalogueEdit,
+    error: EditError,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { table, clock, logger } = this.#deps;
+    // The table service has just failed to answer; do not wait for it again.
+    if (error.kind === "unavailable") return;
+    const time = clock.wallTime();
+    const audit: AuditRow = {
+      ...this.#auditBase(edit, time),
+      toVersion: edit.expectedVersion,
+      outcome: auditOutcome(error),
+      details: {
+        ...edit.details,
+        code: error.kind,
+        ...("version" in error ? { version: error.version } : {}),
+      },
+    };
+    const written = await this.#timed(signal, (inner) =>
+      table.transact({
+        conditions: [],
+        writes: [{ key: auditKey(time, randomUUID()), value: audit }],
+      }, inner));
+    if (written.isErr()) {
+      logger.warn(
+        { code: "audit_write_failed", action: edit.action },
+        "audit row of a failed change could not be written",
+      );
+    }
+  }
+}
+
+function auditOutcome(error: EditError): AuditRow["outcome"] {
+  if (error.kind === "conflict" || error.kind === "unknown") return error.kind;
+  return "refused";
+}
+
+function conflictWith(winner: CatalogueRow | undefined): EditError {
+  return {
+    kind: "conflict",
+    version: winner?.version ?? 0,
+    author: winner?.author ?? "",
+    at: winner?.at ?? "",
+  };
+}
--- a/src/catalogue/catalogue_row.ts
+++ b/src/catalogue/catalogue_row.ts
@@ -1,7 +1,10 @@
 import { z } from "zod";
-import { CatalogueDocument } from "./catalogue_document.ts";
+import { readStoredDocument } from "./read_stored_document.ts";
 
-/** Rows `catalogue/current` and `catalogue/history/<version>`. */
+/**
+ * Rows `catalogue/current` and `catalogue/history/<version>`. Unknown fields of
+ * the row and of its document are kept.
+ */
 export const CatalogueRow = z.looseObject({
   schema: z.literal(1),
   version: z.int().positive(),
@@ -9,6 +12,17 @@
   /** Wall-clock time of the writer, ISO 8601, for people only. */
   at: z.string(),
   writeId: z.string(),
-  document: CatalogueDocument,
+  document: z.unknown().transform((value, ctx) => {
+    const read = readStoredDocument(value);
+    if (read.success) return read.data;
+    for (const issue of read.error.issues) {
+      ctx.addIssue({
+        code: "custom",
+        path: issue.path,
+        message: issue.message,
+      });
+    }
+    return z.NEVER;
+  }),
 });
 export type CatalogueRow = z.infer<typeof CatalogueRow>;
--- /dev/null
+++ b/src/catalogue/path_segments.ts
@@ -0,0 +1,25 @@
+/**
+ * Divides a path the same way for matching and for key extraction, so that both
+ * see the same segments however a caller encodes them.
+ *
+ * @param path - path of a request or prefix, starting with `/`, without query
+ * @returns the percent-decoded segments; empty segments between slashes are
+ * kept. Undefined when decoding fails, or when a segment is `.` or `..`, which
+ * an upstream could resolve to another path
+ */
+export function pathSegments(path: string): string[] | undefined {
+  const segments = path.split("/").slice(1);
+  for (const [position, segment] of segments.entries()) {
+    let decoded = segment;
+    if (segment.includes("%")) {
+      try {
+        decoded = decodeURIComponent(segment);
+      } catch {
+        return undefined;
+      }
+      segments[position] = decoded;
+    }
+    if (decoded === "." || decoded === "..") return undefined;
+  }
+  return segments;
+}
--- /dev/null
+++ b/src/catalogue/prefix_segments.ts
@@ -0,0 +1,14 @@
+import { pathSegments } from "./path_segments.ts";
+
+/**
+ * @param pathPrefix - the `match.pathPrefix` of an entry
+ * @returns the segments that a path must start with; a slash at the end makes
+ * no difference. Undefined when no path can match the prefix
+ */
+export function prefixSegments(pathPrefix: string): string[] | undefined {
+  if (/[?#\s]/.test(pathPrefix)) return undefined;
+  const segments = pathSegments(pathPrefix);
+  if (segments?.at(-1) === "") segments.pop();
+  // An empty segment would make the final slash significant.
+  return segments?.includes("") === true ? undefined : segments;
+}
--- a/tests/settings/parse_settings_test.ts
+++ b/tests/settings/parse_settings_test.ts
@@ -72,9 +72,8 @@
       .replace("credentialFile", "credentialPath") +
       "timing:\n  dispatchTtlMs: 0\nlog:\n  level: loud\n",
     expected: [
-      'a.yaml:3: region: found "Sierra", allowed is a string that must be 1',
-      'a.yaml:6: listen.callers: found "localhost:8080", allowed is a string' +
-      " that must be IP:PORT",
+      'a.yaml:3: region: found "Sierra", allowed is 1 to 63',
+      'a.yaml:6: listen.callers: found "localhost:8080", allowed is IP:PORT',
       "a.yaml:13: peers.credentialFile: found nothing, allowed is a string",
       "a.yaml:13: peers.credentialPath: found an unknown key, allowed is " +
       '"credentialFile"',
