--- /dev/null
+++ b/src/regions/coordinator_lease.ts
@@ -0,0 +1,549 @@
+import { randomUUID } from "node:crypto";
+import { err, type Result, ResultAsync } from "neverthrow";
+import { z } from "zod";
+import { ChangeNotifier } from "../base/change_notifier.ts";
+import type { Clock } from "../base/clock.ts";
+import type { Logger } from "../base/logger.ts";
+import type { TableError } from "../contracts/table_error.ts";
+import type { TableOutcome } from "../contracts/table_outcome.ts";
+import type { TableRow } from "../contracts/table_row.ts";
+import type { TableService } from "../contracts/table_service.ts";
+import type { TableTransaction } from "../contracts/table_transaction.ts";
+import type { CoordinatorView } from "../vms/coordinator_view.ts";
+import type { MemberRegistration } from "../vms/member_registration.ts";
+import type { MemberRow } from "../vms/member_row.ts";
+import type { MemberView } from "../vms/member_view.ts";
+import type { StoreContact } from "../vms/store_contact.ts";
+import type { StorePoller } from "../vms/store_poller.ts";
+import type { VmListPoller } from "../vms/vm_list_poller.ts";
+import { waitForChange } from "../vms/wait_for_change.ts";
+import { withTimeout } from "../vms/with_timeout.ts";
+import { CoordinatorRow } from "./coordinator_row.ts";
+
+const LeaseRow = CoordinatorRow.extend({
+  /** Tells the holder which of its attempts took effect. */
+  writeId: z.string().optional(),
+  /** The holder has stopped; nobody needs to wait for the TTL. */
+  released: z.boolean().optional(),
+  /** Incarnation of each witness; only that process may take over. */
+  witnessIncarnations: z.record(z.string(), z.string()).optional(),
+});
+type LeaseRow = z.infer<typeof LeaseRow>;
+
+type WitnessSet = ReturnType<StoreContact["expectWitnesses"]>;
+
+/** A write whose outcome may still be open. */
+type Attempt = {
+  row: LeaseRow;
+  writeId: string;
+  sentAt: number;
+  /** Revision of the lease row that the write requires. */
+  required: number;
+  set: WitnessSet;
+};
+
+type Lease = {
+  epoch: number;
+  since: number;
+  /** When the last renewal that took effect was sent. */
+  renewedAt: number;
+  revision: number;
+  row: LeaseRow;
+};
+
+type Read = {
+  sentAt: number;
+  receivedAt: number;
+  revision: number;
+  /** Undefined when the row is absent. */
+  row: LeaseRow | undefined;
+};
+
+/**
+ * The coordinator lease of the router's region, see the design page, sections
+ * 6.1 and 7.
+ */
+export class CoordinatorLease {
+  /** Notifies when this router became or ceased to be the holder. */
+  readonly changed = new ChangeNotifier();
+
+  readonly #table: TableService;
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  readonly #self: Pick<
+    MemberRow,
+    "vm" | "incarnation" | "region" | "peerUrl"
+  >;
+  readonly #ttlMs: number;
+  readonly #renewMs: number;
+  /**
+   * Two attempts fit into a TTL, so that one on a silent connection does not
+   * cost the lease.
+   */
+  readonly #attemptMs: number;
+  readonly #contact: StoreContact;
+  readonly #poller: Pick<StorePoller, "lastSentAt">;
+  readonly #registration: Pick<MemberRegistration, "revision">;
+  readonly #members: MemberView;
+  readonly #coordinators: CoordinatorView;
+  readonly #vmList: Pick<VmListPoller, "goneSince">;
+  readonly #key: string;
+
+  #lease: Lease | undefined;
+  /** Takeovers and renewals without an answer, oldest first. */
+  #open: Attempt[] = [];
+  #sets: WitnessSet[] = [];
+  #observed:
+    | { revision: number; firstAt: number; lastAt: number }
+    | undefined;
+  #stopped = false;
+  #notifiedEpoch: number | undefined;
+  #queue: Promise<unknown> = Promise.resolve();
+
+  /**
+   * @param options - `table` with the lease row, `self` as in the member row,
+   * `ttlMs` and `renewMs` from the settings, `contact` for the store mode and
+   * witnesses, `registration` of this router, and `poller`, `members`,
+   * `coordinators` and `vmList`, which show whether the holder is gone
+   */
+  constructor(
+    options: {
+      table: TableService;
+      clock: Clock;
+      logger: Logger;
+      self: Pick<MemberRow, "vm" | "incarnation" | "region" | "peerUrl">;
+      ttlMs: number;
+      renewMs: number;
+      contact: StoreContact;
+      poller: Pick<StorePoller, "lastSentAt">;
+      registration: Pick<MemberRegistration, "revision">;
+      members: MemberView;
+      coordinators: CoordinatorView;
+      vmList: Pick<VmListPoller, "goneSince">;
+    },
+  ) {
+    this.#table = options.table;
+    this.#clock = options.clock;
+    this.#logger = options.logger;
+    this.#self = options.self;
+    this.#ttlMs = options.ttlMs;
+    this.#renewMs = options.renewMs;
+    this.#attemptMs = options.ttlMs / 2;
+    this.#contact = options.contact;
+    this.#poller = options.poller;
+    this.#registration = options.registration;
+    this.#members = options.members;
+    this.#coordinators = options.coordinators;
+    this.#vmList = options.vmList;
+    this.#key = `coordinators/${options.self.region}`;
+  }
+
+  /**
+   * @returns the lease at this moment: its epoch, when it was acquired on this
+   * router's clock, and the revision of the lease row; undefined when this
+   * router must not act as coordinator
+   */
+  held(): { epoch: number; since: number; revision: number } | undefined {
+    const lease = this.#lease;
+    if (lease === undefined || this.#stopped) return undefined;
+    const isValid = this.#clock.now() < lease.renewedAt + this.#ttlMs ||
+      this.#contact.covers(lease.epoch);
+    if (!isValid) return undefined;
+    const { epoch, since, revision } = lease;
+    return { epoch, since, revision };
+  }
+
+  /**
+   * Writes rows on condition that this router still holds the lease. Never runs
+   * at the same time as a renewal, which changes the required revision. After
+   * an `unknown` outcome the next renewal makes sure that the write cannot take
+   * effect any more, so that reading back after it is conclusive.
+   *
+   * @param writes - rows to write; null deletes
+   * @param conditions - further conditions
+   * @param signal - gives up waiting
+   * @returns the outcome; `not_held` when nothing was sent
+   */
+  writeFenced(
+    writes: TableTransaction["writes"],
+    conditions: TableTransaction["conditions"],
+    signal: AbortSignal,
+  ): ResultAsync<TableOutcome, TableError | { kind: "not_held" }> {
+    return new ResultAsync(this.#exclusive<
+      Result<TableOutcome, TableError | { kind: "not_held" }>
+    >(async () => {
+      const held = this.held();
+      if (
+        held === undefined || signal.aborted ||
+        this.#contact.mode() !== "current"
+      ) return err({ kind: "not_held" });
+      return await this.#transact({
+        conditions: [
+          { key: this.#key, revision: held.revision },
+          ...conditions,
+        ],
+        writes,
+      }, signal);
+    }));
+  }
+
+  /**
+   * Observes the lease row, takes the lease over and renews it, until the
+   * signal aborts.
+   *
+   * @param signal - ends the task; the lease then expires unless released
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    let nextAt = this.#clock.now();
+    let lastMode = this.#contact.mode();
+    while (!signal.aborted) {
+      const mode = this.#contact.mode();
+      const isBack = mode === "current" && lastMode !== "current";
+      lastMode = mode;
+      if (this.#clock.now() >= nextAt || isBack) {
+        nextAt = this.#clock.now() + this.#renewMs;
+        await this.#exclusive(() => this.#step(signal));
+      }
+      this.#notifyChange();
+      await waitForChange({
+        clock: this.#clock,
+        ms: Math.min(nextAt, this.#expiresAt()) - this.#clock.now(),
+        notifiers: [this.#contact.changed],
+      }, signal);
+    }
+  }
+
+  /**
+   * Stops acting as coordinator at once and lets others take over without
+   * waiting for the TTL.
+   *
+   * @param signal - ends the attempts; the lease then expires
+   */
+  async release(signal: AbortSignal): Promise<void> {
+    this.#stopped = true;
+    this.#notifyChange();
+    await this.#exclusive(async () => {
+      while (this.#lease !== undefined && !signal.aborted) {
+        const lease = this.#lease;
+        const row: LeaseRow = {
+          ...lease.row,
+          beat: lease.row.beat + 1,
+          writeId: randomUUID(),
+          released: true,
+        };
+        const outcome = await this.#transact({
+          conditions: [{ key: this.#key, revision: lease.revision }],
+          writes: [{ key: this.#key, value: row }],
+        }, signal);
+        if (outcome.isErr()) {
+          await this.#clock.sleep(this.#renewMs, signal);
+        } else if (outcome.value.committed) {
+          this.#coordinators.adopt(outcome.value.revision, row);
+          this.#drop("released");
+        } else {
+          this.#settle(this.#readOf(outcome.value.conflicts));
+        }
+      }
+    });
+  }
+
+  /** When `held` changes by the passing of time alone. */
+  #expiresAt(): number {
+    const at = (this.#lease?.renewedAt ?? 0) + this.#ttlMs;
+    return at > this.#clock.now() ? at : Number.POSITIVE_INFINITY;
+  }
+
+  #notifyChange(): void {
+    const epoch = this.held()?.epoch;
+    if (epoch === this.#notifiedEpoch) return;
+    this.#notifiedEpoch = epoch;
+    this.changed.notify();
+  }
+
+  async #exclusive<T>(run: () => Promise<T>): Promise<T> {
+    const result = this.#queue.then(run);
+    this.#queue = result.catch(() => undefined);
+    return await result;
+  }
+
+  async #transact(
+    transaction: TableTransaction,
+    signal: AbortSignal,
+  ): Promise<Result<TableOutcome, TableError>> {
+    return await withTimeout(
+      { clock: this.#clock, ms: this.#attemptMs },
+      signal,
+      (limited) => this.#table.transact(transaction, limited),
+    );
+  }
+
+  async #step(signal: AbortSignal): Promise<void> {
+    // Nothing is renewed without contact, and an observation made without it
+    // would end with a gap anyway.
+    if (this.#stopped || this.#contact.mode() !== "current") return;
+    if (this.#lease !== undefined) {
+      await this.#renew(this.#lease, signal);
+      return;
+    }
+    if (this.#open.length === 0 && !this.#mayBecomeCandidate()) {
+      this.#observed = undefined;
+      return;
+    }
+    const read = await this.#read(signal);
+    if (read === undefined) return;
+    this.#settle(read);
+    this.#observe(read);
+    if (this.#mayTakeOver(read)) await this.#takeOver(read, signal);
+  }
+
+  /**
+   * Routers that cannot take over by what they polled do not read the row by
+   * themselves, which bounds the number of reads.
+   */
+  #mayBecomeCandidate(): boolean {
+    const known = LeaseRow.safeParse(
+      this.#coordinators.get(this.#self.region)?.row,
+    );
+    return !known.success || this.#isFree(known.data) ||
+      this.#isNamed(known.data) || this.#isHolderGone(known.data);
+  }
+
+  async #read(signal: AbortSignal): Promise<Read | undefined> {
+    const sentAt = this.#clock.now();
+    const result = await withTimeout(
+      { clock: this.#clock, ms: this.#attemptMs },
+      signal,
+      (limited) =>
+        this.#table.readRows({ prefix: this.#key, since: 0 }, limited),
+    );
+    if (result.isErr()) return undefined;
+    const found = result.value.rows.find((row) => row.key === this.#key) ??
+      { key: this.#key, revision: 0, value: null };
+    return this.#readOf([found], sentAt);
+  }
+
+  /** Returns undefined when the lease row is not among the rows or unreadable. */
+  #readOf(
+    rows: readonly TableRow[],
+    sentAt = this.#clock.now(),
+  ): Read | undefined {
+    const found = rows.find((row) => row.key === this.#key);
+    if (found === undefined) return undefined;
+    const times = { sentAt, receivedAt: this.#clock.now() };
+    if (found.value === null || found.value === undefined) {
+      return { ...times, revision: 0, row: undefined };
+    }
+    const parsed = LeaseRow.safeParse(found.value);
+    if (!parsed.success) {
+      this.#logger.warn(
+        { row: this.#key, revision: found.revision },
+        "the lease row does not match its schema",
+      );
+      return undefined;
+    }
+    this.#coordinators.adopt(found.revision, parsed.data);
+    return { ...times, revision: found.revision, row: parsed.data };
+  }
+
+  #observe(read: Read): void {
+    const last = this.#observed;
+    if (
+      last?.revision !== read.revision ||
+      // After a gap the holder, too, may just have regained the store.
+      read.receivedAt - last.lastAt > this.#ttlMs
+    ) {
+      this.#observed = {
+        revision: read.revision,
+        firstAt: read.receivedAt,
+        lastAt: read.receivedAt,
+      };
+    } else {
+      last.lastAt = read.receivedAt;
+    }
+  }
+
+  #mayTakeOver(read: Read): boolean {
+    if (
+      this.#lease !== undefined || this.#registration.revision === undefined ||
+      this.#contact.mode() !== "current" || !this.#contact.mayActOnStore()
+    ) return false;
+    const { row } = read;
+    if (row === undefined || this.#isFree(row)) return true;
+    const observed = this.#observed;
+    if (
+      observed === undefined || read.sentAt < observed.firstAt + this.#ttlMs
+    ) return false;
+    if (this.#isNamed(row)) return true;
+    // Member rows that were read before the holder's lease row may lack the
+    // holder's registration.
+    return (this.#poller.lastSentAt ?? -1) >= observed.firstAt &&
+      this.#isHolderGone(row);
+  }
+
+  #isFree(row: LeaseRow): boolean {
+    return row.released === true;
+  }
+
+  #isNamed(row: LeaseRow): boolean {
+    return row.witnessIncarnations?.[this.#self.vm] === this.#self.incarnation;
+  }
+
+  #isHolderGone(row: LeaseRow): boolean {
+    return this.#members.get(row.vm)?.incarnation !== row.incarnation ||
+      this.#vmList.goneSince(row.vm) !== undefined;
+  }
+
+  async #takeOver(read: Read, signal: AbortSignal): Promise<void> {
+    const registration = this.#registration.revision;
+    if (registration === undefined) return;
+    const attempt = this.#prepare({
+      required: read.revision,
+      epoch: (read.row?.epoch ?? 0) + 1,
+      beat: 0,
+    });
+    // As a witness this router names the epoch from now on, since the write
+    // may take effect at any time.
+    this.#contact.claimEpoch(attempt.row.epoch);
+    const outcome = await this.#transact({
+      conditions: [
+        { key: this.#key, revision: read.revision },
+        // A write of a process that has since been replaced must fail: its
+        // successor vouches for what its VM did.
+        { key: `members/${this.#self.vm}`, revision: registration },
+      ],
+      writes: [{ key: this.#key, value: attempt.row }],
+    }, signal);
+    this.#finish(attempt, outcome);
+    if (this.#lease === undefined && this.#open.length > 0) {
+      this.#settle(await this.#read(signal));
+    }
+  }
+
+  async #renew(lease: Lease, signal: AbortSignal): Promise<void> {
+    const attempt = this.#prepare({
+      required: lease.revision,
+      epoch: lease.epoch,
+      beat: lease.row.beat + 1,
+    });
+    const outcome = await this.#transact({
+      conditions: [{ key: this.#key, revision: lease.revision }],
+      writes: [{ key: this.#key, value: attempt.row }],
+    }, signal);
+    this.#finish(attempt, outcome);
+    if (outcome.isErr() && outcome.error.kind === "unknown") {
+      this.#settle(await this.#read(signal));
+    }
+  }
+
+  #prepare(
+    next: { required: number; epoch: number; beat: number },
+  ): Attempt {
+    const witnesses = this.#contact.witnesses();
+    const writeId = randomUUID();
+    const set = this.#contact.expectWitnesses("lease", witnesses);
+    this.#sets.push(set);
+    const attempt: Attempt = {
+      row: {
+        schema: 1,
+        region: this.#self.region,
+        vm: this.#self.vm,
+        incarnation: this.#self.incarnation,
+        peerUrl: this.#self.peerUrl,
+        epoch: next.epoch,
+        beat: next.beat,
+        witnesses: Object.keys(witnesses),
+        witnessIncarnations: witnesses,
+        writeId,
+      },
+      writeId,
+      sentAt: this.#clock.now(),
+      required: next.required,
+      set,
+    };
+    this.#open.push(attempt);
+    return attempt;
+  }
+
+  #finish(
+    attempt: Attempt,
+    outcome: Result<TableOutcome, TableError>,
+  ): void {
+    if (outcome.isErr()) {
+      if (outcome.error.kind === "unavailable") this.#withdraw(attempt);
+      return;
+    }
+    if (outcome.value.committed) {
+      this.#won(attempt, outcome.value.revision);
+      return;
+    }
+    this.#withdraw(attempt);
+    this.#settle(this.#readOf(outcome.value.conflicts));
+  }
+
+  /** Draws conclusions for open attempts from the present row. */
+  #settle(read: Read | undefined): void {
+    if (read === undefined) return;
+    const { row, revision } = read;
+    const won = this.#open.find((attempt) => attempt.writeId === row?.writeId);
+    if (won !== undefined) {
+      this.#won(won, revision);
+      return;
+    }
+    // Only a changed row rules out that an attempt still takes effect.
+    for (const attempt of this.#open) {
+      if (attempt.required !== revision) this.#withdraw(attempt);
+    }
+    const lease = this.#lease;
+    if (lease === undefined || lease.revision === revision) return;
+    this.#logger.warn(
+      { region: this.#self.region, epoch: lease.epoch, newer: row?.epoch },
+      "another router took the coordinator lease",
+    );
+    this.#drop("lost");
+  }
+
+  #won(attempt: Attempt, revision: number): void {
+    const { row } = attempt;
+    const earlier = this.#lease;
+    this.#coordinators.adopt(revision, row);
+    if (earlier?.epoch !== row.epoch) {
+      this.#logger.info(
+        { region: row.region, epoch: row.epoch },
+        "took the coordinator lease",
+      );
+    }
+    this.#lease = {
+      epoch: row.epoch,
+      since: earlier?.epoch === row.epoch ? earlier.since : this.#clock.now(),
+      renewedAt: attempt.sentAt,
+      revision,
+      row,
+    };
+    // Every other attempt required a revision that has passed.
+    for (const other of this.#open) {
+      if (other !== attempt) other.set.withdraw();
+    }
+    this.#open = [];
+    this.#sets = [attempt.set];
+    attempt.set.confirm();
+    this.#contact.claimEpoch(0);
+  }
+
+  #withdraw(attempt: Attempt): void {
+    attempt.set.withdraw();
+    this.#sets = this.#sets.filter((set) => set !== attempt.set);
+    this.#open = this.#open.filter((other) => other !== attempt);
+    if (this.#open.length === 0) this.#contact.claimEpoch(0);
+  }
+
+  #drop(reason: string): void {
+    for (const set of this.#sets) set.withdraw();
+    this.#sets = [];
+    this.#open = [];
+    this.#lease = undefined;
+    this.#observed = undefined;
+    this.#logger.info({ region: this.#self.region, reason }, "lease ended");
+    this.#contact.claimEpoch(0);
+    this.#notifyChange();
+  }
+}
--- /dev/null
+++ b/src/vms/http_peer_client.ts
@@ -0,0 +1,201 @@
+import { isJSONRPCResponse, JSONRPC, type JSONRPCRequest } from "json-rpc-2.0";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import { Pool } from "undici";
+import type { z } from "zod";
+import type { Clock } from "../base/clock.ts";
+import { HOP_HEADER } from "../links/hop_header.ts";
+import type { PeerClient } from "./peer_client.ts";
+import type { PeerError } from "./peer_error.ts";
+import { withTimeout } from "./with_timeout.ts";
+
+const MAX_MESSAGE_BYTES = 1024 * 1024;
+// Long polls hold a connection each, next to short calls.
+const CONNECTIONS_PER_PEER = 8;
+// Shorter than the idle limit of Node's HTTP server (5 s), so that a call
+// does not meet a connection that the other side is closing.
+const KEEP_ALIVE_MS = 4000;
+
+/** Thrown inside this file only, to pass an outcome through the library. */
+class CallFailure extends Error {
+  constructor(readonly error: PeerError) {
+    super(error.message);
+  }
+}
+
+function textOf(cause: unknown): string {
+  return cause instanceof Error ? cause.message : String(cause);
+}
+
+async function readText(body: AsyncIterable<Buffer>): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of body) {
+    size += chunk.length;
+    if (size > MAX_MESSAGE_BYTES) {
+      throw new CallFailure({
+        kind: "malformed",
+        message: `answer exceeds ${MAX_MESSAGE_BYTES} bytes`,
+      });
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
+
+/** JSON-RPC over HTTP, with a pool of connections for each peer. */
+export class HttpPeerClient implements PeerClient {
+  readonly #pools = new Map<string, Pool>();
+  readonly #credential: string;
+  readonly #clock: Clock;
+  #nextId = 1;
+
+  /**
+   * @param options - `credential` shown to peers, `clock` for timeouts, and
+   * `signal`, which closes every connection
+   */
+  constructor(
+    options: { credential: string; clock: Clock; signal: AbortSignal },
+  ) {
+    this.#credential = options.credential;
+    this.#clock = options.clock;
+    options.signal.addEventListener("abort", () => this.#close(), {
+      once: true,
+    });
+  }
+
+  call<Schema extends z.ZodType>(
+    call: {
+      peerUrl: string;
+      method: string;
+      params: unknown;
+      result: Schema;
+      timeoutMs: number;
+    },
+    signal: AbortSignal,
+  ): ResultAsync<z.infer<Schema>, PeerError> {
+    return new ResultAsync(this.#call(call, signal));
+  }
+
+  async #call<Schema extends z.ZodType>(
+    call: {
+      peerUrl: string;
+      method: string;
+      params: unknown;
+      result: Schema;
+      timeoutMs: number;
+    },
+    signal: AbortSignal,
+  ): Promise<Result<z.infer<Schema>, PeerError>> {
+    const id = this.#nextId++;
+    const request = {
+      jsonrpc: JSONRPC,
+      id,
+      method: call.method,
+      params: call.params,
+    };
+    let limited = signal;
+    try {
+      const answer = await withTimeout(
+        { clock: this.#clock, ms: call.timeoutMs },
+        signal,
+        (either) => {
+          limited = either;
+          return this.#post(call.peerUrl, request, either);
+        },
+      );
+      const result = call.result.safeParse(answer);
+      if (result.success) return ok(result.data);
+      return err({
+        kind: "malformed",
+        message: `answer to ${call.method} does not match the schema`,
+      });
+    } catch (cause) {
+      if (cause instanceof CallFailure) return err(cause.error);
+      if (limited.aborted && !signal.aborted) {
+        return err({
+          kind: "timeout",
+          message: `no answer to ${call.method} in ${call.timeoutMs} ms`,
+        });
+      }
+      return err({ kind: "unreachable", message: textOf(cause) });
+    }
+  }
+
+  /** Returns the result of the response to one request. */
+  async #post(
+    peerUrl: string,
+    request: JSONRPCRequest,
+    signal: AbortSignal,
+  ): Promise<unknown> {
+    const text = JSON.stringify(request);
+    if (Buffer.byteLength(text) > MAX_MESSAGE_BYTES) {
+      throw new CallFailure({
+        kind: "malformed",
+        message: `request exceeds ${MAX_MESSAGE_BYTES} bytes`,
+      });
+    }
+    const { body } = await this.#pool(peerUrl).request({
+      path: "/rpc",
+      method: "POST",
+      headers: {
+        "content-type": "application/json",
+        [HOP_HEADER.credential]: this.#credential,
+      },
+      body: text,
+      signal,
+    });
+    const answer = await readText(body);
+    let message: unknown;
+    try {
+      message = JSON.parse(answer);
+    } catch {
+      throw new CallFailure({
+        kind: "malformed",
+        message: "answer is not JSON",
+      });
+    }
+    if (!isJSONRPCResponse(message)) {
+      throw new CallFailure({
+        kind: "malformed",
+        message: "answer is not a JSON-RPC 2.0 response",
+      });
+    }
+    if (message.error !== undefined) {
+      // Errors that precede the parsing of a request carry no id.
+      throw new CallFailure({
+        kind: "rejected",
+        code: message.error.code,
+        message: message.error.message,
+      });
+    }
+    if (message.id !== request.id) {
+      throw new CallFailure({
+        kind: "malformed",
+        message: "answer carries the id of another request",
+      });
+    }
+    return message.result;
+  }
+
+  #pool(peerUrl: string): Pool {
+    const origin = new URL(peerUrl).origin;
+    let pool = this.#pools.get(origin);
+    if (pool === undefined) {
+      pool = new Pool(origin, {
+        connections: CONNECTIONS_PER_PEER,
+        pipelining: 1,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        keepAliveMaxTimeout: KEEP_ALIVE_MS,
+      });
+      this.#pools.set(origin, pool);
+    }
+    return pool;
+  }
+
+  #close(): void {
+    for (const pool of this.#pools.values()) {
+      void pool.destroy().catch(() => undefined);
+    }
+    this.#pools.clear();
+  }
+}
--- /dev/null
+++ b/src/vms/member_leaving.ts
@@ -0,0 +1,12 @@
+import { z } from "zod";
+
+/** Parameters of `member.leaving`: the last words of a stopping router. */
+export const MemberLeaving = z.looseObject({
+  vm: z.string(),
+  incarnation: z.string(),
+  /** The last catalogue version that the router may have confirmed. */
+  catalogueVersion: z.int().nonnegative(),
+  /** Highest coordinator epoch of its region that the router knew. */
+  coordinatorEpoch: z.int().nonnegative(),
+});
+export type MemberLeaving = z.infer<typeof MemberLeaving>;
--- /dev/null
+++ b/src/vms/member_registration.ts
@@ -0,0 +1,224 @@
+import type { Clock } from "../base/clock.ts";
+import type { Logger } from "../base/logger.ts";
+import type { TableService } from "../contracts/table_service.ts";
+import { MemberRow } from "./member_row.ts";
+import type { MemberView } from "./member_view.ts";
+import type { StoreContact } from "./store_contact.ts";
+import type { VmListPoller } from "./vm_list_poller.ts";
+import { waitForChange } from "./wait_for_change.ts";
+import { withTimeout } from "./with_timeout.ts";
+
+const FIRST_BACKOFF_MS = 200;
+const MAX_BACKOFF_MS = 5000;
+const ATTEMPT_TIMEOUT_MS = 2000;
+// Longest time between two looks at the choice of witnesses, for changes that
+// come with the passing of time alone.
+const CHECK_MS = 5000;
+
+/** Keeps the row `members/<vm>` of this router. */
+export class MemberRegistration {
+  readonly #table: TableService;
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  readonly #self: Pick<
+    MemberRow,
+    "vm" | "incarnation" | "region" | "failureDomain" | "peerUrl"
+  >;
+  readonly #contact: StoreContact;
+  readonly #members: MemberView;
+  readonly #vmList: Pick<VmListPoller, "changed">;
+  readonly #key: string;
+  /** The row as last read or written; revision 0 when absent. */
+  #known: { revision: number; row: MemberRow | undefined } | undefined;
+  /** The witnesses in the row, while they are known for certain. */
+  #written: Readonly<Record<string, string>> | undefined;
+  #registered = false;
+  #superseded = false;
+
+  /**
+   * @param options - `table` to write to, `self` for the row, including the
+   * random `incarnation` of this process, `contact` for the choice of
+   * witnesses, and `members` and `vmList`, whose changes may alter the choice
+   */
+  constructor(
+    options: {
+      table: TableService;
+      clock: Clock;
+      logger: Logger;
+      self: Pick<
+        MemberRow,
+        "vm" | "incarnation" | "region" | "failureDomain" | "peerUrl"
+      >;
+      contact: StoreContact;
+      members: MemberView;
+      vmList: Pick<VmListPoller, "changed">;
+    },
+  ) {
+    this.#table = options.table;
+    this.#clock = options.clock;
+    this.#logger = options.logger;
+    this.#self = options.self;
+    this.#contact = options.contact;
+    this.#members = options.members;
+    this.#vmList = options.vmList;
+    this.#key = `members/${options.self.vm}`;
+  }
+
+  /**
+   * @returns revision of the row that this process wrote, or undefined while
+   * it is not registered
+   */
+  get revision(): number | undefined {
+    return this.#known?.row?.incarnation === this.#self.incarnation
+      ? this.#known.revision
+      : undefined;
+  }
+
+  /**
+   * Writes the row, and again when the witnesses change, until the signal
+   * aborts. While the store does not answer, attempts are spaced out to 5 s.
+   *
+   * @param signal - ends the task; the row stays
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    let backoffMs = FIRST_BACKOFF_MS;
+    while (!signal.aborted && !this.#superseded) {
+      if (this.#isUpToDate()) {
+        backoffMs = FIRST_BACKOFF_MS;
+        await waitForChange({
+          clock: this.#clock,
+          ms: CHECK_MS,
+          notifiers: [
+            this.#members.changed,
+            this.#vmList.changed,
+            this.#contact.changed,
+            this.#contact.farewell,
+          ],
+        }, signal);
+        continue;
+      }
+      if (await this.#attempt(signal)) continue;
+      await this.#clock.sleep(backoffMs, signal);
+      backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS);
+    }
+  }
+
+  /**
+   * Removes the row. To be called once `run` has ended and this router has
+   * ended everything that the row stands for.
+   *
+   * @param signal - ends the attempts
+   */
+  async remove(signal: AbortSignal): Promise<void> {
+    let backoffMs = FIRST_BACKOFF_MS;
+    while (!signal.aborted && !this.#superseded) {
+      if (this.#known === undefined) await this.#read(signal);
+      const known = this.#known;
+      if (known !== undefined) {
+        if (known.row?.incarnation !== this.#self.incarnation) return;
+        const result = await withTimeout(
+          { clock: this.#clock, ms: ATTEMPT_TIMEOUT_MS },
+          signal,
+          (limited) =>
+            this.#table.transact({
+              conditions: [{ key: this.#key, revision: known.revision }],
+              writes: [{ key: this.#key, value: null }],
+            }, limited),
+        );
+        if (result.isOk() && result.value.committed) {
+          this.#known = { revision: result.value.revision, row: undefined };
+          return;
+        }
+        this.#known = undefined;
+      }
+      await this.#clock.sleep(backoffMs, signal);
+      backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS);
+    }
+  }
+
+  #isUpToDate(): boolean {
+    if (!this.#registered) return false;
+    // Without contact the choice of witnesses stays as it was written.
+    if (this.#contact.mode() !== "current") return true;
+    return this.#written !== undefined &&
+      sameRecord(this.#contact.witnesses(), this.#written);
+  }
+
+  /** Returns whether the row now is as it should be. */
+  async #attempt(signal: AbortSignal): Promise<boolean> {
+    if (this.#known === undefined && !await this.#read(signal)) return false;
+    const known = this.#known;
+    if (known === undefined || this.#isUpToDate()) return true;
+    const witnesses = this.#contact.witnesses();
+    const row: MemberRow = {
+      schema: 1,
+      ...this.#self,
+      witnesses: Object.keys(witnesses),
+      witnessIncarnations: witnesses,
+    };
+    const set = this.#contact.expectWitnesses("member", witnesses);
+    const result = await withTimeout(
+      { clock: this.#clock, ms: ATTEMPT_TIMEOUT_MS },
+      signal,
+      (limited) =>
+        this.#table.transact({
+          conditions: [{ key: this.#key, revision: known.revision }],
+          writes: [{ key: this.#key, value: row }],
+        }, limited),
+    );
+    if (result.isOk() && result.value.committed) {
+      this.#known = { revision: result.value.revision, row };
+      this.#written = witnesses;
+      this.#registered = true;
+      set.confirm();
+      this.#contact.markRegistered();
+      this.#logger.info({ witnesses: row.witnesses }, "member row written");
+      return true;
+    }
+    // After a lost answer the set stays: the row may name these witnesses.
+    if (result.isOk() || result.error.kind === "unavailable") set.withdraw();
+    this.#known = undefined;
+    this.#written = undefined;
+    return false;
+  }
+
+  async #read(signal: AbortSignal): Promise<boolean> {
+    const result = await withTimeout(
+      { clock: this.#clock, ms: ATTEMPT_TIMEOUT_MS },
+      signal,
+      (limited) =>
+        this.#table.readRows({ prefix: this.#key, since: 0 }, limited),
+    );
+    if (result.isErr()) return false;
+    const found = result.value.rows.find((row) => row.key === this.#key);
+    const parsed = MemberRow.safeParse(found?.value);
+    const row = parsed.success ? parsed.data : undefined;
+    if (
+      this.#registered && row !== undefined &&
+      row.incarnation !== this.#self.incarnation
+    ) {
+      this.#superseded = true;
+      this.#logger.error(
+        { vm: this.#self.vm, incarnation: row.incarnation },
+        "another process registered this VM; not registering again",
+      );
+      return false;
+    }
+    // A row that is read back is written again in any case, which settles
+    // which of the attempted witness sets it names.
+    this.#known = {
+      revision: found?.value === null ? 0 : found?.revision ?? 0,
+      row,
+    };
+    return true;
+  }
+}
+
+function sameRecord(
+  a: Readonly<Record<string, string>>,
+  b: Readonly<Record<string, string>>,
+): boolean {
+  const keys = Object.keys(a);
+  return keys.length === Object.keys(b).length &&
+    keys.every((key) => a[key] === b[key]);
+}
--- a/src/vms/member_row.ts
+++ b/src/vms/member_row.ts
@@ -12,5 +12,10 @@
   peerUrl: z.string(),
   /** VMs that vouch for a store outage, see the design page, section 7. */
   witnesses: z.array(z.string()),
+  /**
+   * Incarnation of each witness when the row was written. Only that process
+   * vouches: a router that restarted knows nothing of earlier promises.
+   */
+  witnessIncarnations: z.record(z.string(), z.string()).optional(),
 });
 export type MemberRow = z.infer<typeof MemberRow>;
--- /dev/null
+++ b/src/vms/store_contact.ts
@@ -0,0 +1,623 @@
+import { z } from "zod";
+import { ChangeNotifier } from "../base/change_notifier.ts";
+import type { Clock } from "../base/clock.ts";
+import type { Logger } from "../base/logger.ts";
+import type { CatalogueView } from "../catalogue/catalogue_view.ts";
+import type { TableRow } from "../contracts/table_row.ts";
+import type { RpcHandler } from "../links/rpc_handler.ts";
+import type { AssignmentView } from "../shards/assignment_view.ts";
+import type { CatalogueStatus } from "./catalogue_status.ts";
+import { chooseWitnesses } from "./choose_witnesses.ts";
+import type { CoordinatorView } from "./coordinator_view.ts";
+import { MemberLeaving } from "./member_leaving.ts";
+import type { MemberRow } from "./member_row.ts";
+import type { MemberView } from "./member_view.ts";
+import type { PeerClient } from "./peer_client.ts";
+import { RowsResult } from "./rows_result.ts";
+import type { StoreContactView } from "./store_contact_view.ts";
+import type { StoreMode } from "./store_mode.ts";
+import type { StorePoller } from "./store_poller.ts";
+import type { VmListPoller } from "./vm_list_poller.ts";
+import { waitForChange } from "./wait_for_change.ts";
+import { WitnessAnswer } from "./witness_answer.ts";
+
+const CATALOGUE_KEY = "catalogue/current";
+const MAX_ROWS_PER_REQUEST = 64;
+const ROWS_TIMEOUT_MS = 1000;
+const LEAVING_TIMEOUT_MS = 1000;
+
+const AskParams = z.looseObject({ vm: z.string(), incarnation: z.string() });
+const VersionParams = z.looseObject({ version: z.int().nonnegative() });
+const RowsParams = z.looseObject({
+  keys: z.array(z.string()).max(MAX_ROWS_PER_REQUEST),
+});
+
+/** Witnesses that a row in the store names, or may name. */
+type WitnessSet = {
+  source: "member" | "lease";
+  /** Incarnation by VM id. */
+  witnesses: Readonly<Record<string, string>>;
+  /** When a newer set of the same source was confirmed. */
+  retiredAt?: number;
+};
+
+/** What one witness said. */
+type Heard = {
+  askedAt: number;
+  /** End of the promise on this router's clock; undefined after a refusal. */
+  promisedUntil: number | undefined;
+  version: number;
+  epoch: number;
+};
+
+/** A promise that this router gave as a witness. */
+type Promised = { until: number; version: number };
+
+/**
+ * Decides from store polls and witnesses whether this router may go on, and
+ * answers other routers that ask it as their witness.
+ *
+ * A VM runs one router process at a time, so an answer of a process shows that
+ * every earlier process of its VM has ended.
+ */
+export class StoreContact implements StoreContactView {
+  readonly changed = new ChangeNotifier();
+  /** Notifies when another router said that it leaves. */
+  readonly farewell = new ChangeNotifier();
+
+  readonly #self: Pick<
+    MemberRow,
+    "vm" | "incarnation" | "region" | "failureDomain"
+  >;
+  readonly #timing: {
+    storeContactMs: number;
+    witnessAskMs: number;
+    witnessPromiseMs: number;
+  };
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  readonly #poller: StorePoller;
+  readonly #views: {
+    catalogue: CatalogueView;
+    members: MemberView;
+    coordinators: CoordinatorView;
+    assignments: AssignmentView;
+  };
+  readonly #peers: PeerClient;
+  readonly #vmList: Pick<VmListPoller, "goneSince">;
+
+  /** Notifies when an answer, a farewell or a witness set arrived. */
+  readonly #input = new ChangeNotifier();
+  #sets: WitnessSet[] = [];
+  readonly #heard = new Map<string, Heard>();
+  readonly #farewells = new Map<string, MemberLeaving>();
+  readonly #fetching = new Map<string, Promise<void>>();
+  #promised: Promised[] = [];
+  #claimedEpoch = 0;
+  #registeredAt: number | undefined;
+  /** Version that was confirmable when this router began to leave. */
+  #leftAtVersion: number | undefined;
+
+  /**
+   * @param options - `self` as in the member row, `timing` in milliseconds from
+   * the settings, `views` that `poller` feeds, `peers` to call witnesses, and
+   * `vmList` to recognise lost VMs
+   */
+  constructor(
+    options: {
+      self: Pick<
+        MemberRow,
+        "vm" | "incarnation" | "region" | "failureDomain"
+      >;
+      timing: {
+        storeContactMs: number;
+        witnessAskMs: number;
+        witnessPromiseMs: number;
+      };
+      clock: Clock;
+      logger: Logger;
+      poller: StorePoller;
+      views: {
+        catalogue: CatalogueView;
+        members: MemberView;
+        coordinators: CoordinatorView;
+        assignments: AssignmentView;
+      };
+      peers: PeerClient;
+      vmList: Pick<VmListPoller, "goneSince">;
+    },
+  ) {
+    this.#self = options.self;
+    this.#timing = options.timing;
+    this.#clock = options.clock;
+    this.#logger = options.logger;
+    this.#poller = options.poller;
+    this.#views = options.views;
+    this.#peers = options.peers;
+    this.#vmList = options.vmList;
+  }
+
+  mode(): StoreMode {
+    const sentAt = this.#poller.lastSentAt;
+    if (sentAt === undefined) return "starting";
+    if (this.#clock.now() - sentAt < this.#timing.storeContactMs) {
+      return "current";
+    }
+    const coverage = this.#coverage();
+    // A witness may have confirmed the version that it reports, so a router
+    // that still has an older one must not serve.
+    return coverage !== undefined &&
+        coverage.version <= this.#views.catalogue.version
+      ? "outage"
+      : "cut_off";
+  }
+
+  /**
+   * @param epoch - epoch of a coordinator lease that this router holds
+   * @returns whether promises in force rule out that another router has taken
+   * the lease over, or does so now
+   */
+  covers(epoch: number): boolean {
+    const coverage = this.#coverage();
+    return coverage !== undefined && coverage.epoch <= epoch &&
+      this.coordinatorEpoch() <= epoch;
+  }
+
+  /**
+   * @returns false while this router has promised another one not to take a
+   * coordinator lease or confirm a catalogue version, and once it is leaving
+   */
+  mayActOnStore(): boolean {
+    return this.#leftAtVersion === undefined &&
+      this.#promisesInForce().length === 0;
+  }
+
+  /**
+   * @returns the newest catalogue version that this router may confirm; a
+   * version adopted under a promise waits for the end of the promise
+   */
+  confirmableVersion(): number {
+    return Math.min(
+      this.#views.catalogue.version,
+      this.#leftAtVersion ?? Number.POSITIVE_INFINITY,
+      ...this.#promisesInForce().map((promise) => promise.version),
+    );
+  }
+
+  /**
+   * @returns the highest coordinator epoch of the own region that this router
+   * has read, holds, or may have written without an answer
+   */
+  coordinatorEpoch(): number {
+    const known = this.#views.coordinators.get(this.#self.region);
+    return Math.max(known?.row.epoch ?? 0, this.#claimedEpoch);
+  }
+
+  /**
+   * @param epoch - epoch of a takeover whose outcome is open, 0 when settled
+   */
+  claimEpoch(epoch: number): void {
+    this.#claimedEpoch = epoch;
+  }
+
+  /**
+   * Answers of this router as a witness count from the first poll after its
+   * registration on: that poll has read whatever an earlier process of the VM
+   * wrote, and later writes of such a process fail on the member row.
+   */
+  markRegistered(): void {
+    this.#registeredAt ??= this.#clock.now();
+  }
+
+  /**
+   * @returns incarnation of each witness to name in rows, by VM id
+   */
+  witnesses(): Record<string, string> {
+    return chooseWitnesses(
+      this.#self,
+      this.#views.members.all().filter((row) =>
+        this.#farewells.get(row.vm)?.incarnation !== row.incarnation &&
+        this.#vmList.goneSince(row.vm) === undefined
+      ),
+    );
+  }
+
+  /**
+   * Adds witnesses that a row may name from now on. They are asked until the
+   * write turns out to have failed or a later one has replaced it.
+   *
+   * @param source - the row that names them
+   * @param witnesses - incarnation by VM id
+   * @returns `confirm`, to be called when the write took effect, and
+   * `withdraw`, when it certainly did not
+   */
+  expectWitnesses(
+    source: "member" | "lease",
+    witnesses: Readonly<Record<string, string>>,
+  ): { confirm(): void; withdraw(): void } {
+    this.#forgetRetired();
+    const set: WitnessSet = { source, witnesses };
+    this.#sets.push(set);
+    return {
+      confirm: () => {
+        const now = this.#clock.now();
+        for (const other of this.#sets) {
+          if (other !== set && other.source === source) {
+            other.retiredAt ??= now;
+          }
+        }
+        this.#input.notify();
+      },
+      withdraw: () => {
+        this.#sets = this.#sets.filter((other) => other !== set);
+        this.#input.notify();
+      },
+    };
+  }
+
+  /**
+   * Stops acting on the store for good and tells every member, so that this
+   * router is no longer needed as a witness. The coordinator lease must have
+   * been released before, and the member row is to be removed afterwards.
+   *
+   * @param signal - ends the wait for answers
+   */
+  async leave(signal: AbortSignal): Promise<void> {
+    this.#leftAtVersion ??= this.confirmableVersion();
+    // A process that has not read the store since it registered cannot speak
+    // for what an earlier process of the VM did.
+    if (!this.#hasReadSinceRegistration()) return;
+    const params: MemberLeaving = {
+      vm: this.#self.vm,
+      incarnation: this.#self.incarnation,
+      catalogueVersion: this.#leftAtVersion,
+      coordinatorEpoch: this.coordinatorEpoch(),
+    };
+    await Promise.all(
+      this.#views.members.all().filter((row) => row.vm !== this.#self.vm)
+        .map((row) =>
+          this.#peers.call({
+            peerUrl: row.peerUrl,
+            method: "member.leaving",
+            params,
+            result: z.looseObject({}),
+            timeoutMs: LEAVING_TIMEOUT_MS,
+          }, signal)
+        ),
+    );
+  }
+
+  /**
+   * @returns handlers of the methods that other routers call
+   */
+  handlers(): RpcHandler[] {
+    return [
+      {
+        method: "witness.ask",
+        params: AskParams,
+        handle: () => Promise.resolve(this.#answerAsWitness()),
+      },
+      {
+        method: "rows.get",
+        params: RowsParams,
+        handle: (params) =>
+          Promise.resolve(this.#rows(RowsParams.parse(params).keys)),
+      },
+      {
+        method: "catalogue.changed",
+        params: VersionParams,
+        handle: (params) => {
+          this.#pollIfOlder(VersionParams.parse(params).version);
+          return Promise.resolve({});
+        },
+      },
+      {
+        method: "catalogue.status",
+        params: VersionParams,
+        handle: (params) => {
+          this.#pollIfOlder(VersionParams.parse(params).version);
+          return Promise.resolve(this.status());
+        },
+      },
+      {
+        method: "member.leaving",
+        params: MemberLeaving,
+        handle: (params) => {
+          const farewell = MemberLeaving.parse(params);
+          this.#farewells.set(farewell.vm, farewell);
+          this.farewell.notify();
+          this.#input.notify();
+          return Promise.resolve({});
+        },
+      },
+    ];
+  }
+
+  /**
+   * @returns this router's answer to `catalogue.status`
+   */
+  status(): CatalogueStatus {
+    return {
+      vm: this.#self.vm,
+      incarnation: this.#self.incarnation,
+      version: this.confirmableVersion(),
+      mode: this.mode(),
+    };
+  }
+
+  /**
+   * Asks witnesses while there is no contact, and notifies of mode changes.
+   *
+   * @param signal - ends the task
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.#askWitnesses(signal), this.#watchMode(signal)]);
+    await Promise.all(this.#fetching.values());
+  }
+
+  async #askWitnesses(signal: AbortSignal): Promise<void> {
+    const rounds = new Set<Promise<void>>();
+    while (!signal.aborted) {
+      const mode = this.mode();
+      const sentAt = this.#poller.lastSentAt;
+      let ms = this.#timing.witnessAskMs;
+      if (mode === "current" && sentAt !== undefined) {
+        ms = sentAt + this.#timing.storeContactMs - this.#clock.now();
+      } else if (mode !== "starting") {
+        // Not awaited, so that a silent witness does not delay the next round.
+        const round = this.#askAll(signal).finally(() => rounds.delete(round));
+        rounds.add(round);
+      }
+      await waitForChange({
+        clock: this.#clock,
+        ms,
+        notifiers: [this.#poller.polled],
+      }, signal);
+    }
+    await Promise.all(rounds);
+  }
+
+  async #watchMode(signal: AbortSignal): Promise<void> {
+    let last = this.mode();
+    while (!signal.aborted) {
+      await waitForChange({
+        clock: this.#clock,
+        ms: this.#nextBoundary() - this.#clock.now(),
+        notifiers: [
+          this.#poller.polled,
+          this.#input,
+          this.#views.catalogue.changed,
+        ],
+      }, signal);
+      const mode = this.mode();
+      if (mode === last) continue;
+      this.#logger.info({ from: last, to: mode }, "store contact changed");
+      last = mode;
+      this.changed.notify();
+    }
+  }
+
+  /** When the mode may change by the passing of time alone. */
+  #nextBoundary(): number {
+    const now = this.#clock.now();
+    const ends = [
+      (this.#poller.lastSentAt ?? now) + this.#timing.storeContactMs,
+      ...[...this.#heard.values()].map((heard) => heard.promisedUntil ?? 0),
+    ].filter((end) => end > now);
+    return Math.min(now + this.#timing.storeContactMs, ...ends);
+  }
+
+  async #askAll(signal: AbortSignal): Promise<void> {
+    await Promise.all(
+      [...this.#namedWitnesses().keys()].map((vm) => this.#ask(vm, signal)),
+    );
+  }
+
+  async #ask(vm: string, signal: AbortSignal): Promise<void> {
+    const row = this.#views.members.get(vm);
+    if (row === undefined) return;
+    const askedAt = this.#clock.now();
+    const result = await this.#peers.call({
+      peerUrl: row.peerUrl,
+      method: "witness.ask",
+      params: {
+        vm: this.#self.vm,
+        incarnation: this.#self.incarnation,
+      },
+      result: WitnessAnswer,
+      timeoutMs: this.#timing.witnessAskMs,
+    }, signal);
+    if (result.isErr()) return;
+    const answer = result.value;
+    const known = this.#heard.get(vm);
+    if (known !== undefined && known.askedAt > askedAt) return;
+    this.#heard.set(vm, {
+      askedAt,
+      // The witness counts from its answer, which is later.
+      promisedUntil: answer.kind === "unreachable"
+        ? askedAt + answer.promiseMs
+        : undefined,
+      version: Math.max(known?.version ?? 0, answer.catalogueVersion),
+      epoch: answer.coordinatorEpoch,
+    });
+    if (answer.kind === "unreachable") this.#fetchNewer(row, answer, signal);
+    this.#input.notify();
+  }
+
+  #fetchNewer(
+    witness: MemberRow,
+    answer: Extract<WitnessAnswer, { kind: "unreachable" }>,
+    signal: AbortSignal,
+  ): void {
+    const keys = Object.entries(answer.revisions)
+      .filter(([key, revision]) => revision > this.#assignmentRevision(key))
+      .map(([key]) => key);
+    if (answer.catalogueVersion > this.#views.catalogue.version) {
+      keys.unshift(CATALOGUE_KEY);
+    }
+    if (keys.length === 0 || this.#fetching.has(witness.vm)) return;
+    const fetch = this.#fetch(witness, keys, signal)
+      .finally(() => this.#fetching.delete(witness.vm));
+    this.#fetching.set(witness.vm, fetch);
+  }
+
+  async #fetch(
+    witness: MemberRow,
+    keys: readonly string[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    // One row a call, because an answer holds at most 1 MiB.
+    for (const key of keys) {
+      const result = await this.#peers.call({
+        peerUrl: witness.peerUrl,
+        method: "rows.get",
+        params: { keys: [key] },
+        result: RowsResult,
+        timeoutMs: ROWS_TIMEOUT_MS,
+      }, signal);
+      if (result.isErr()) {
+        this.#logger.warn(
+          { witness: witness.vm, row: key, error: result.error },
+          "cannot read a newer row from a witness",
+        );
+        return;
+      }
+      for (const row of result.value.rows) {
+        if (row.key === key) this.#poller.adopt(row);
+      }
+    }
+  }
+
+  /**
+   * @returns undefined unless every witness is bound by a promise or excluded;
+   * otherwise the highest catalogue version and coordinator epoch among them
+   */
+  #coverage(): { version: number; epoch: number } | undefined {
+    const now = this.#clock.now();
+    let bound = 0;
+    let version = 0;
+    let epoch = 0;
+    for (const [vm, incarnations] of this.#namedWitnesses()) {
+      const farewell = this.#farewells.get(vm);
+      if (
+        farewell !== undefined &&
+        [...incarnations].every((one) => one === farewell.incarnation)
+      ) {
+        version = Math.max(version, farewell.catalogueVersion);
+        epoch = Math.max(epoch, farewell.coordinatorEpoch);
+        continue;
+      }
+      const heard = this.#heard.get(vm);
+      version = Math.max(version, heard?.version ?? 0);
+      epoch = Math.max(epoch, heard?.epoch ?? 0);
+      if (heard?.promisedUntil !== undefined && heard.promisedUntil > now) {
+        bound += 1;
+      } else if (!this.#isSafelyGone(vm, heard)) return undefined;
+    }
+    return bound > 0 ? { version, epoch } : undefined;
+  }
+
+  /**
+   * A VM that is gone may have acted on the store between the end of its last
+   * promise and its loss. It is left out only when the list showed its loss
+   * while the promise held, or when the store was read after its loss.
+   */
+  #isSafelyGone(vm: string, heard: Heard | undefined): boolean {
+    const goneSince = this.#vmList.goneSince(vm);
+    if (goneSince === undefined) return false;
+    return (this.#poller.lastSentAt ?? -1) >= goneSince ||
+      (heard?.promisedUntil ?? -1) >= goneSince;
+  }
+
+  /** Witnesses that rows may name, without processes known to have ended. */
+  #namedWitnesses(): Map<string, Set<string>> {
+    this.#forgetRetired();
+    const named = new Map<string, Set<string>>();
+    for (const { witnesses } of this.#sets) {
+      for (const [vm, incarnation] of Object.entries(witnesses)) {
+        // A process ends before its row is removed or replaced, and the poll
+        // that showed this has read everything that it wrote.
+        if (this.#views.members.get(vm)?.incarnation !== incarnation) continue;
+        const incarnations = named.get(vm) ?? new Set();
+        named.set(vm, incarnations.add(incarnation));
+      }
+    }
+    return named;
+  }
+
+  #forgetRetired(): void {
+    const lastSentAt = this.#poller.lastSentAt ?? -1;
+    // Whoever read a row before it was replaced may still go by it, so its
+    // witnesses count until a later poll has shown what was written by then.
+    this.#sets = this.#sets.filter((set) =>
+      set.retiredAt === undefined || set.retiredAt >= lastSentAt
+    );
+  }
+
+  #answerAsWitness(): WitnessAnswer {
+    const known = {
+      incarnation: this.#self.incarnation,
+      catalogueVersion: this.#views.catalogue.version,
+      coordinatorEpoch: this.coordinatorEpoch(),
+    };
+    if (!this.#hasReadSinceRegistration() || this.mode() === "current") {
+      return { kind: "refused", ...known };
+    }
+    this.#promised = this.#promisesInForce();
+    this.#promised.push({
+      until: this.#clock.now() + this.#timing.witnessPromiseMs,
+      version: known.catalogueVersion,
+    });
+    return {
+      kind: "unreachable",
+      promiseMs: this.#timing.witnessPromiseMs,
+      ...known,
+      revisions: Object.fromEntries(
+        this.#views.assignments.all().map(({ revision, row }) => [
+          `assignments/${row.region}/${row.service}`,
+          revision,
+        ]),
+      ),
+    };
+  }
+
+  #hasReadSinceRegistration(): boolean {
+    return this.#registeredAt !== undefined &&
+      (this.#poller.lastSentAt ?? -1) >= this.#registeredAt;
+  }
+
+  #promisesInForce(): Promised[] {
+    const now = this.#clock.now();
+    return this.#promised.filter((promise) => promise.until > now);
+  }
+
+  #pollIfOlder(version: number): void {
+    if (version > this.#views.catalogue.version) this.#poller.pollNow();
+  }
+
+  #assignmentRevision(key: string): number {
+    const [, region, service] = key.split("/");
+    return this.#views.assignments.get(region ?? "", service ?? "")
+      ?.revision ?? 0;
+  }
+
+  #rows(keys: readonly string[]): RowsResult {
+    const rows: TableRow[] = [];
+    for (const key of keys) {
+      if (key === CATALOGUE_KEY) {
+        const value = this.#views.catalogue.current;
+        const revision = this.#poller.revisionOf(key);
+        if (value !== undefined && revision > 0) {
+          rows.push({ key, revision, value });
+        }
+      } else if (key.startsWith("assignments/")) {
+        const [, region, service] = key.split("/");
+        const held = this.#views.assignments.get(region ?? "", service ?? "");
+        if (held !== undefined) {
+          rows.push({ key, revision: held.revision, value: held.row });
+        }
+      }
+    }
+    return { rows };
+  }
+}
--- /dev/null
+++ b/src/vms/store_poller.ts
@@ -0,0 +1,216 @@
+import { ChangeNotifier } from "../base/change_notifier.ts";
+import type { Clock } from "../base/clock.ts";
+import type { Logger } from "../base/logger.ts";
+import { CatalogueRow } from "../catalogue/catalogue_row.ts";
+import type { CatalogueView } from "../catalogue/catalogue_view.ts";
+import type { TableRow } from "../contracts/table_row.ts";
+import type { TableService } from "../contracts/table_service.ts";
+import { CoordinatorRow } from "../regions/coordinator_row.ts";
+import { AssignmentRow } from "../shards/assignment_row.ts";
+import type { AssignmentView } from "../shards/assignment_view.ts";
+import type { CoordinatorView } from "./coordinator_view.ts";
+import { MemberRow } from "./member_row.ts";
+import type { MemberView } from "./member_view.ts";
+import { waitForChange } from "./wait_for_change.ts";
+import { withTimeout } from "./with_timeout.ts";
+
+const CATALOGUE_KEY = "catalogue/current";
+const PREFIXES = [CATALOGUE_KEY, "members/", "coordinators/", "assignments/"];
+// A poll on a connection that went silent must not delay the next ones, and a
+// store that answers slowly must not collect polls without bound.
+const MAX_OUTSTANDING = 3;
+
+/** Follows the rows of the table service that routers need. */
+export class StorePoller {
+  /** Notifies after each successful poll. */
+  readonly polled = new ChangeNotifier();
+
+  readonly #table: TableService;
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  readonly #pollMs: number;
+  readonly #timeoutMs: number;
+  readonly #views: {
+    catalogue: CatalogueView;
+    members: MemberView;
+    coordinators: CoordinatorView;
+    assignments: AssignmentView;
+  };
+  readonly #requested = new ChangeNotifier();
+  readonly #revisions = new Map<string, number>();
+  #since = 0;
+  #lastSentAt: number | undefined;
+  #reads = 0;
+  #outstanding = 0;
+
+  /**
+   * @param options - `table` to read, `pollMs` between polls, `timeoutMs` after
+   * which a poll is given up, and the `views` that receive the rows
+   */
+  constructor(
+    options: {
+      table: TableService;
+      clock: Clock;
+      logger: Logger;
+      pollMs: number;
+      timeoutMs: number;
+      views: {
+        catalogue: CatalogueView;
+        members: MemberView;
+        coordinators: CoordinatorView;
+        assignments: AssignmentView;
+      };
+    },
+  ) {
+    this.#table = options.table;
+    this.#clock = options.clock;
+    this.#logger = options.logger;
+    this.#pollMs = options.pollMs;
+    this.#timeoutMs = options.timeoutMs;
+    this.#views = options.views;
+  }
+
+  /**
+   * @returns when the newest successful poll was sent, or undefined before the
+   * first
+   */
+  get lastSentAt(): number | undefined {
+    return this.#lastSentAt;
+  }
+
+  /**
+   * @returns reads sent to the table service so far
+   */
+  get reads(): number {
+    return this.#reads;
+  }
+
+  /**
+   * @param key - key of a row
+   * @returns the newest known revision of the row, 0 if unknown
+   */
+  revisionOf(key: string): number {
+    return this.#revisions.get(key) ?? 0;
+  }
+
+  /** Starts a poll without waiting for the interval to pass. */
+  pollNow(): void {
+    this.#requested.notify();
+  }
+
+  /**
+   * Passes a row to its view, unless a newer one of the same key is known. A
+   * row that does not match its schema is logged and skipped.
+   *
+   * @param row - a row from the table service or from another router
+   */
+  adopt(row: TableRow): void {
+    if (row.revision <= this.revisionOf(row.key)) return;
+    if (this.#pass(row)) this.#revisions.set(row.key, row.revision);
+  }
+
+  /**
+   * Polls until the signal aborts.
+   *
+   * @param signal - ends the task and the polls that it started
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const polls = new Set<Promise<void>>();
+    while (!signal.aborted) {
+      if (this.#outstanding < MAX_OUTSTANDING) {
+        const poll = this.#poll(signal).finally(() => polls.delete(poll));
+        polls.add(poll);
+      }
+      await waitForChange({
+        clock: this.#clock,
+        ms: this.#pollMs,
+        notifiers: [this.#requested],
+      }, signal);
+    }
+    await Promise.all(polls);
+  }
+
+  async #poll(signal: AbortSignal): Promise<void> {
+    this.#outstanding += 1;
+    const sentAt = this.#clock.now();
+    // The first poll leaves out history and audit rows, which may be many;
+    // afterwards a single read of everything new costs least.
+    const prefixes = this.#lastSentAt === undefined ? PREFIXES : [""];
+    const since = this.#since;
+    this.#reads += prefixes.length;
+    const results = await withTimeout(
+      { clock: this.#clock, ms: this.#timeoutMs },
+      signal,
+      (limited) =>
+        Promise.all(
+          prefixes.map((prefix) =>
+            this.#table.readRows({ prefix, since }, limited)
+          ),
+        ),
+    );
+    this.#outstanding -= 1;
+    const rows: TableRow[] = [];
+    let revision = Number.POSITIVE_INFINITY;
+    for (const result of results) {
+      if (result.isErr()) {
+        this.#logger.debug({ error: result.error }, "store poll failed");
+        return;
+      }
+      rows.push(...result.value.rows);
+      // Reads of one poll may differ in revision; the lowest leaves no gap.
+      revision = Math.min(revision, result.value.revision);
+    }
+    for (const row of rows.sort((a, b) => a.revision - b.revision)) {
+      this.adopt(row);
+    }
+    this.#since = Math.max(this.#since, revision);
+    this.#lastSentAt = Math.max(this.#lastSentAt ?? sentAt, sentAt);
+    this.polled.notify();
+  }
+
+  #pass(row: TableRow): boolean {
+    if (row.key === CATALOGUE_KEY) {
+      const parsed = CatalogueRow.safeParse(row.value);
+      if (!parsed.success) return this.#skip(row);
+      this.#views.catalogue.adopt(parsed.data);
+      return true;
+    }
+    if (row.key.startsWith("members/")) {
+      const vm = row.key.slice("members/".length);
+      if (row.value === null) {
+        this.#views.members.set(vm, undefined);
+        return true;
+      }
+      const parsed = MemberRow.safeParse(row.value);
+      if (!parsed.success || parsed.data.vm !== vm) return this.#skip(row);
+      this.#views.members.set(vm, parsed.data);
+      return true;
+    }
+    if (row.key.startsWith("coordinators/")) {
+      const parsed = CoordinatorRow.safeParse(row.value);
+      if (
+        !parsed.success || row.key !== `coordinators/${parsed.data.region}`
+      ) return this.#skip(row);
+      this.#views.coordinators.adopt(row.revision, parsed.data);
+      return true;
+    }
+    if (row.key.startsWith("assignments/")) {
+      const parsed = AssignmentRow.safeParse(row.value);
+      if (
+        !parsed.success ||
+        row.key !== `assignments/${parsed.data.region}/${parsed.data.service}`
+      ) return this.#skip(row);
+      this.#views.assignments.adopt(row.revision, parsed.data);
+      return true;
+    }
+    return false;
+  }
+
+  #skip(row: TableRow): false {
+    this.#logger.warn(
+      { row: row.key, revision: row.revision },
+      "skipping a row that does not match its schema",
+    );
+    return false;
+  }
+}
