--- /dev/null
+++ b/src/upstreams/dispatch_queue.ts
@@ -0,0 +1,58 @@
+import type { Entry } from "../catalogue/entry.ts";
+
+type Class = Entry["class"];
+
+/** Waiting requests of one upstream, first in first out within a class. */
+export class DispatchQueue<Item extends { class: Class }> {
+  #interactive: Item[] = [];
+  #batch: Item[] = [];
+
+  /**
+   * @returns how many requests wait
+   */
+  get size(): number {
+    return this.#interactive.length + this.#batch.length;
+  }
+
+  /**
+   * @param item - waits behind the others of its class
+   */
+  push(item: Item): void {
+    (item.class === "interactive" ? this.#interactive : this.#batch).push(item);
+  }
+
+  /**
+   * Takes the first request that may be sent now, interactive ones first.
+   *
+   * @param mayStart - whether a request may be sent now
+   * @returns the request, or undefined
+   */
+  take(mayStart: (item: Item) => boolean): Item | undefined {
+    for (const items of [this.#interactive, this.#batch]) {
+      const index = items.findIndex(mayStart);
+      if (index >= 0) return items.splice(index, 1)[0];
+    }
+    return undefined;
+  }
+
+  /**
+   * @param matches - which requests to take out
+   * @returns the requests taken out, in order
+   */
+  removeAll(matches: (item: Item) => boolean): Item[] {
+    const removed = this.items().filter(matches);
+    if (removed.length > 0) {
+      const out = new Set(removed);
+      this.#interactive = this.#interactive.filter((item) => !out.has(item));
+      this.#batch = this.#batch.filter((item) => !out.has(item));
+    }
+    return removed;
+  }
+
+  /**
+   * @returns the waiting requests in the order in which they would leave
+   */
+  items(): Item[] {
+    return [...this.#interactive, ...this.#batch];
+  }
+}
--- /dev/null
+++ b/src/upstreams/due_timer.ts
@@ -0,0 +1,45 @@
+import type { Clock } from "../base/clock.ts";
+
+type Options = {
+  clock: Clock;
+  signal: AbortSignal;
+  /** Handles what is due and returns the next due time, or `Infinity`. */
+  onDue: () => number;
+};
+
+/** One timer for many due times; only the earliest is kept. */
+export class DueTimer {
+  readonly #options: Options;
+  #at = Infinity;
+  #sleep: AbortController | undefined;
+
+  /**
+   * @param options - clock, end of the timer's use, and the handler
+   */
+  constructor(options: Options) {
+    this.#options = options;
+    options.signal.addEventListener("abort", () => this.#sleep?.abort(), {
+      once: true,
+    });
+  }
+
+  /**
+   * @param at - the handler runs at this time or earlier
+   */
+  set(at: number): void {
+    if (at >= this.#at || this.#options.signal.aborted) return;
+    this.#at = at;
+    this.#sleep?.abort();
+    const sleep = new AbortController();
+    this.#sleep = sleep;
+    void this.#wait(at, sleep.signal);
+  }
+
+  async #wait(at: number, signal: AbortSignal): Promise<void> {
+    const { clock, onDue } = this.#options;
+    await clock.sleep(Math.max(0, at - clock.now()), signal);
+    if (signal.aborted) return;
+    this.#at = Infinity;
+    this.set(onDue());
+  }
+}
--- /dev/null
+++ b/src/upstreams/open_socket.ts
@@ -0,0 +1,51 @@
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import type { Clock } from "../base/clock.ts";
+
+const CONNECT_TIMEOUT_MS = 1000;
+/** Lets the system notice a silent connection without application probes. */
+const TCP_KEEP_ALIVE_MS = 1000;
+const DEFAULT_PORT = 80;
+
+/**
+ * Opens a TCP connection within one second.
+ *
+ * @param address - `ip:port`
+ * @param clock - time of the limit
+ * @param onDecided - called once, unless the socket is destroyed before, with
+ * the reason if the connection was not established
+ * @returns the socket, to be destroyed by the caller
+ */
+export function openSocket(
+  address: string,
+  clock: Clock,
+  onDecided: (err: Error | undefined, socket: Socket) => void,
+): Socket {
+  const { hostname, port } = new URL(`http://${address}`);
+  const socket = connect({
+    host: hostname.replace(/^\[|\]$/g, ""),
+    // `URL` leaves out the default port of the scheme.
+    port: port === "" ? DEFAULT_PORT : Number(port),
+    noDelay: true,
+    keepAlive: true,
+    keepAliveInitialDelay: TCP_KEEP_ALIVE_MS,
+  });
+  const decided = new AbortController();
+  const onError = (err: Error) => {
+    decided.abort();
+    onDecided(err, socket);
+  };
+  socket.once("error", onError);
+  socket.once("close", () => decided.abort());
+  socket.once("connect", () => {
+    decided.abort();
+    socket.off("error", onError);
+    onDecided(undefined, socket);
+  });
+  void clock.sleep(CONNECT_TIMEOUT_MS, decided.signal).then(() => {
+    if (!decided.signal.aborted) {
+      socket.destroy(new Error(`not connected after ${CONNECT_TIMEOUT_MS} ms`));
+    }
+  });
+  return socket;
+}
