--- a/src/upstreams/dispatcher.ts
+++ b/src/upstreams/dispatcher.ts
@@ -3,7 +3,6 @@
 import type { Metrics } from "../base/metrics.ts";
 import type { Service } from "../catalogue/service.ts";
 import type { ServerGrants } from "../contracts/server_grants.ts";
-import type { UpstreamHealth } from "../contracts/upstream_health.ts";
 import type { UpstreamReports } from "../contracts/upstream_reports.ts";
 import { HOP_HEADER } from "../links/hop_header.ts";
 import type { RenewReport } from "../regions/renew_report.ts";
@@ -19,19 +18,14 @@
 import { DueTimer } from "./due_timer.ts";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { GrantKeeper } from "./grant_keeper.ts";
-import { HealthPoller } from "./health_poller.ts";
 import { HotKeySketch } from "./hot_key_sketch.ts";
-import { openSocket } from "./open_socket.ts";
 import { OwnedUnits } from "./owned_units.ts";
 import { RateMeter } from "./rate_meter.ts";
 import { refused } from "./refused.ts";
 import { ServiceTimeEstimate } from "./service_time_estimate.ts";
+import { UpstreamCondition } from "./upstream_condition.ts";
 import { UpstreamConnections } from "./upstream_connections.ts";
 import { UpstreamExchange } from "./upstream_exchange.ts";
-import { UpstreamLiveness } from "./upstream_liveness.ts";
-import { WarmUp } from "./warm_up.ts";
-
-type State = RenewReport["upstreams"][number]["state"];
 
 type Options = {
   vm: string;
@@ -74,17 +68,6 @@
   /** The tenure has ended for good. */
   | "stopped";
 
-/** Shortest silence after which the upstream itself is in doubt. */
-const MIN_DOUBT_MS = 300;
-/** A longer one would leave no time for recovery within 5 s. */
-const MAX_DOUBT_MS = 1000;
-const MIN_SILENCE_MS = 1000;
-const SILENCE_PER_P99 = 4;
-/**
- * Without responses that carry a state, draining and unannounced restarts show
- * only in the health; draining must take effect within 3 s.
- */
-const WARM_POLL_MS = 1000;
 /** The coordinator moves the units of a draining upstream meanwhile. */
 const DRAINING_ACCEPT_MS = 1000;
 const HOT_KEY_SHARE = 0.1;
@@ -98,14 +81,11 @@
   readonly #clock: Clock;
   readonly #queue = new DispatchQueue<DispatchJob>();
   readonly #running = new Set<DispatchJob>();
-  readonly #warmUp: WarmUp;
-  readonly #estimate: ServiceTimeEstimate;
-  readonly #liveness: UpstreamLiveness;
+  readonly #condition: UpstreamCondition;
   readonly #rate: RateMeter;
   readonly #hotKeys: HotKeySketch;
   readonly #abandoned: AbandonedRuns;
   readonly #connections: UpstreamConnections;
-  readonly #poller: HealthPoller;
   readonly #keeper: GrantKeeper | undefined;
   readonly #timer: DueTimer;
   /** Ends the tasks of the tenure. */
@@ -114,13 +94,6 @@
   readonly #end = new AbortController();
   #mode: Mode = "live";
   #drainingSince: number | undefined;
-  /** The upstream itself says that it drains. */
-  #upstreamDrainingSince: number | undefined;
-  /** When the request was sent whose answer last told the state. */
-  #stateAskedAt = -Infinity;
-  #stateHeardAt = -Infinity;
-  #checkingConnect = false;
-  #reportedState: State = "cold";
   #grantedUnits = "";
 
   /**
@@ -134,9 +107,17 @@
     this.epoch = options.epoch;
     this.#clock = clock;
     this.owned = new OwnedUnits(options);
-    this.#warmUp = new WarmUp(clock, options.cfg());
-    this.#estimate = new ServiceTimeEstimate(clock);
-    this.#liveness = new UpstreamLiveness(clock);
+    this.#condition = new UpstreamCondition({
+      ...options,
+      healthPollMs: timing.healthPollMs,
+      active: () => this.accepting,
+      unansweredSince: () => this.#unansweredSince(),
+      onAnswer: () => this.#giveUpSilent(),
+      onChange: () => this.#onStateChange(),
+      onRestart: () => this.#keeper?.forgetClock(),
+      onDueAt: (at) => this.#timer.set(at),
+      signal: this.#end.signal,
+    });
     this.#rate = new RateMeter(clock);
     this.#hotKeys = new HotKeySketch(clock);
     this.#abandoned = new AbandonedRuns(clock);
@@ -144,17 +125,9 @@
       address,
       clock,
       signal: this.#end.signal,
-      onConnected: () => this.#liveness.connected(),
-      onConnectFailed: () => this.#onConnectFailed(),
-      onAllClosed: (reset) => this.#onAllClosed(reset),
-    });
-    this.#poller = new HealthPoller({
-      address,
-      clock,
-      reports: options.reports,
-      minIntervalMs: () => timing.healthPollMs,
-      neededAt: () => this.#pollNeededAt(),
-      onResult: (health, askedAt) => this.#onHealth(health, askedAt),
+      onConnected: () => this.#condition.onConnected(),
+      onConnectFailed: () => this.#condition.onConnectFailed(),
+      onAllClosed: (reset) => this.#condition.onAllClosed(reset),
     });
     this.#keeper = grants && new GrantKeeper({
       address,
@@ -180,7 +153,7 @@
       onDue: () => this.#onDue(),
     });
     options.signal.addEventListener("abort", this.#abort, { once: true });
-    void this.#poller.run(this.#tenure.signal);
+    void this.#condition.run(this.#tenure.signal);
     void this.#keeper?.run(this.#tenure.signal);
   }
 
@@ -277,8 +250,9 @@
       this.#slots(),
       this.#serviceMs(),
     );
-    if (!this.#isCold()) return ms;
-    const startsIn = this.#warmUp.nextStartAt(this.#estimate.median()) -
+    if (!this.#condition.cold) return ms;
+    const startsIn =
+      this.#condition.warmUp.nextStartAt(this.#condition.estimate.median()) -
       this.#clock.now();
     return Math.max(ms, startsIn);
   }
@@ -291,7 +265,7 @@
     return {
       service,
       upstream,
-      state: this.#state(),
+      state: this.#condition.state,
       inFlight: this.#running.size,
       queued: this.#queue.size,
       serviceMs: this.#serviceMs(),
@@ -339,7 +313,7 @@
 
   /** The assignment row or the catalogue has changed. */
   rowChanged(): void {
-    this.#warmUp.update(this.#options.cfg());
+    this.#condition.warmUp.update(this.#options.cfg());
     this.owned.rowChanged();
     this.#unitsChanged();
   }
@@ -356,7 +330,7 @@
     if (this.#mode === "stopped") return;
     this.#mode = "live";
     this.#drainingSince = undefined;
-    this.#poller.reconsider();
+    this.#condition.reconsider();
     this.#keeper?.changed();
     this.#pump();
   }
@@ -402,22 +376,12 @@
     return Math.min(slots, UpstreamConnections.usable(connections));
   }
 
-  #isCold(): boolean {
-    return this.#warmUp.isCold(this.#estimate.median());
-  }
-
-  #state(): State {
-    if (this.#liveness.lost) return "lost";
-    if (this.#upstreamDrainingSince !== undefined) return "draining";
-    return this.#isCold() ? "cold" : "warm";
-  }
-
   /**
    * The median lags while requests are stuck: if even the youngest of a full
    * set of slots has waited longer, that is the better estimate.
    */
   #serviceMs(): number {
-    const median = this.#estimate.median();
+    const median = this.#condition.estimate.median();
     const now = this.#clock.now();
     let stuck = Infinity;
     for (const { progress } of this.#running) {
@@ -451,14 +415,14 @@
         "the time of the request is over",
       );
     }
-    if (this.#liveness.lost) {
+    if (this.#condition.lost) {
       return refused(
         "upstream_unavailable",
         "not_run",
         "the upstream does not answer",
       );
     }
-    const since = this.#upstreamDrainingSince;
+    const since = this.#condition.drainingSince;
     if (since !== undefined && now - since >= DRAINING_ACCEPT_MS) {
       return refused("draining", "not_run", "the upstream is draining");
     }
@@ -492,17 +456,17 @@
   }
 
   #mayStart(): boolean {
-    const median = this.#estimate.median();
+    const median = this.#condition.estimate.median();
     const running = this.#running.size + this.#options.busyBefore();
     if (running >= this.#slots()) return false;
-    if (!this.#warmUp.isCold(median)) return true;
+    if (!this.#condition.warmUp.isCold(median)) return true;
     // A request that was given up may still use a cold upstream.
     const used = running + this.#abandoned.count();
-    if (used >= this.#warmUp.concurrency(median)) {
+    if (used >= this.#condition.warmUp.concurrency(median)) {
       this.#timer.set(this.#abandoned.nextEndAt());
       return false;
     }
-    const startAt = this.#warmUp.nextStartAt(median);
+    const startAt = this.#condition.warmUp.nextStartAt(median);
     if (startAt > this.#clock.now()) {
       this.#timer.set(startAt);
       return false;
@@ -516,7 +480,7 @@
     const startedAt = this.#clock.now();
     job.progress = { kind: "connecting" };
     this.#running.add(job);
-    this.#warmUp.started();
+    this.#condition.warmUp.started();
     this.#rate.add();
     this.#timer.set(req.deadlineAt);
     const connection = this.#connections.acquire(
@@ -576,141 +540,27 @@
     }
     if (deadlineAt <= now) return new AttemptAbandoned("deadline");
     job.progress = { kind: "sent", at: now, runEndsAt: now + runMs };
-    this.#timer.set(Math.min(now + MIN_DOUBT_MS, now + runMs));
+    this.#timer.set(now + runMs);
+    this.#condition.sent();
     return undefined;
   }
 
   #onAnswer(
     job: DispatchJob,
-    head: { status: number; headers: Record<string, unknown> },
+    head: Parameters<UpstreamCondition["onAnswer"]>[0],
   ): void {
     const { progress } = job;
     if (progress.kind !== "sent") return;
-    const now = this.#clock.now();
     job.progress = { kind: "answered", runEndsAt: progress.runEndsAt };
-    this.#answered();
-    const notRun = head.headers[HOP_HEADER.notRun];
-    const state = stateOf(head.headers[HOP_HEADER.state]) ??
-      (notRun === "draining" ? "draining" : undefined);
-    const boot = head.headers[HOP_HEADER.boot];
-    if (notRun === "shed") this.#warmUp.becameCold();
-    if (notRun === "grant") this.#keeper?.changed();
-    if (notRun === undefined) this.#estimate.add(now - progress.at);
-    this.#heard({
-      state,
-      boot: typeof boot === "string" ? boot : undefined,
-      askedAt: progress.at,
-    });
-  }
-
-  #heard(report: Parameters<WarmUp["heard"]>[0]): void {
-    const wasCold = this.#isCold();
-    this.#warmUp.heard(report);
-    if (this.#isCold() && !wasCold) this.#keeper?.forgetClock();
-    if (report.state !== undefined && report.askedAt >= this.#stateAskedAt) {
-      this.#stateAskedAt = report.askedAt;
-      this.#stateHeardAt = this.#clock.now();
-      if (report.state !== "draining") this.#upstreamDrainingSince = undefined;
-      else this.#upstreamDrainingSince ??= this.#clock.now();
-    }
-    this.#stateMayHaveChanged();
+    if (head.headers[HOP_HEADER.notRun] === "grant") this.#keeper?.changed();
+    this.#condition.onAnswer(head, progress.at);
   }
 
-  #onHealth(health: UpstreamHealth | undefined, askedAt: number): void {
-    if (health === undefined) {
-      this.#liveness.probeFailed(askedAt, this.#unansweredSince());
-      if (this.#unansweredSince() === undefined) void this.#checkConnect();
-      this.#stateMayHaveChanged();
-      return;
-    }
-    this.#answered();
-    this.#heard({ state: health.state, boot: health.boot, askedAt });
-    this.#pump();
-  }
-
-  #answered(): void {
-    this.#liveness.answered();
-    this.#giveUpSilent();
-  }
-
-  #onConnectFailed(): void {
-    this.#liveness.connectFailed();
-    const retryAt = this.#liveness.retryConnectAt;
-    if (retryAt !== undefined) this.#timer.set(retryAt);
-    this.#stateMayHaveChanged();
-  }
-
-  /** Decides by a bare connection whether the upstream is lost. */
-  async #checkConnect(): Promise<void> {
-    if (this.#checkingConnect || !this.accepting) return;
-    this.#checkingConnect = true;
-    const { address } = this.#options;
-    const err = await new Promise<Error | undefined>((resolve) => {
-      const socket = openSocket(address, this.#clock, resolve);
-      const close = () => {
-        socket.destroy();
-        resolve(undefined);
-      };
-      this.#end.signal.addEventListener("abort", close, { once: true });
-      socket.once("close", () => {
-        this.#end.signal.removeEventListener("abort", close);
-      });
-      socket.once("connect", () => socket.destroy());
-    });
-    this.#checkingConnect = false;
-    if (this.#end.signal.aborted) return;
-    if (err === undefined) this.#liveness.connected();
-    else this.#onConnectFailed();
-  }
-
-  #onAllClosed(reset: boolean): void {
-    if (reset) {
-      this.#warmUp.becameCold();
-      this.#keeper?.forgetClock();
-    }
-    this.#stateHeardAt = -Infinity;
-    this.#stateMayHaveChanged();
-  }
-
-  #stateMayHaveChanged(): void {
-    const state = this.#state();
-    this.#poller.reconsider();
-    if (state === this.#reportedState) return;
-    const { logger, service, upstream } = this.#options;
-    logger.info(
-      { service, upstream, from: this.#reportedState, to: state },
-      "the state of the upstream changed",
-    );
-    this.#reportedState = state;
-    if (state === "lost") {
-      this.#warmUp.becameCold();
-      const err = new AttemptAbandoned("silent");
-      for (const job of this.#queue.removeAll(() => true)) {
-        job.settle(attemptOutcome({ kind: "not_sent", err }, 0));
-      }
-    }
+  #onStateChange(): void {
+    if (this.#condition.lost) this.#refuseQueued(() => true, "silent");
     this.#checkReleases();
     this.#options.onChange();
-  }
-
-  #pollNeededAt(): number {
-    if (this.#mode !== "live" || !this.#leaseRuns()) return Infinity;
-    const { healthPollMs } = this.#options.timing;
-    const often = this.#liveness.lost || this.#isCold();
-    const regular = this.#stateHeardAt + (often ? healthPollMs : WARM_POLL_MS);
-    const since = this.#unansweredSince();
-    if (since === undefined) return regular;
-    const silentSince = Math.max(since, this.#liveness.lastAnswerAt);
-    return Math.min(regular, silentSince + this.#doubtMs());
-  }
-
-  #doubtMs(): number {
-    const usual = 2 * this.#estimate.p99();
-    return Math.min(MAX_DOUBT_MS, Math.max(MIN_DOUBT_MS, usual));
-  }
-
-  #silenceMs(): number {
-    return Math.max(MIN_SILENCE_MS, SILENCE_PER_P99 * this.#estimate.p99());
+    this.#pump();
   }
 
   /** When the oldest request without an answer byte was sent. */
@@ -726,13 +576,12 @@
   /** Closes connections that are silent while the upstream answers others. */
   #giveUpSilent(): void {
     const now = this.#clock.now();
-    const silenceMs = this.#silenceMs();
+    const { silenceMs } = this.#condition;
     for (const job of this.#running) {
       const { progress } = job;
       if (progress.kind !== "sent" || now - progress.at < silenceMs) continue;
-      const others = this.#liveness.lastAnswerAt;
-      if (others < progress.at + MIN_DOUBT_MS) continue;
-      this.#estimate.add(now - progress.at);
+      if (!this.#condition.answeredOthersSince(progress.at)) continue;
+      this.#condition.estimate.add(now - progress.at);
       job.exchange?.abandon(new AttemptAbandoned("silent"));
     }
   }
@@ -788,7 +637,7 @@
       if (jobs.length === 0) {
         this.owned.markDrained(release.unit);
         drained = true;
-      } else if (this.#liveness.lost || now >= release.since + maxRunMs) {
+      } else if (this.#condition.lost || now >= release.since + maxRunMs) {
         for (const job of jobs) {
           job.exchange?.abandon(new AttemptAbandoned("handed_over"));
         }
@@ -823,7 +672,7 @@
       } else if (
         job.progress.kind === "sent" && job.progress.runEndsAt <= now
       ) {
-        this.#estimate.add(now - job.progress.at);
+        this.#condition.estimate.add(now - job.progress.at);
         job.exchange?.abandon(new AttemptAbandoned("run_limit"));
       }
     }
@@ -837,11 +686,9 @@
         job.exchange?.abandon(new AttemptAbandoned("handed_over"));
       }
     }
-    const retryAt = this.#liveness.retryConnectAt;
-    if (retryAt !== undefined && retryAt <= now) void this.#checkConnect();
-    this.#poller.reconsider();
+    const checkAt = this.#condition.due();
     this.#pump();
-    return this.#nextDue();
+    return Math.min(checkAt, this.#nextDue());
   }
 
   #nextDue(): number {
@@ -851,10 +698,8 @@
     for (const { progress, req } of this.#running) {
       times.push(req.deadlineAt);
       if (progress.kind !== "sent") continue;
-      times.push(progress.runEndsAt, progress.at + this.#silenceMs());
+      times.push(progress.runEndsAt, progress.at + this.#condition.silenceMs);
     }
-    const retryAt = this.#liveness.retryConnectAt;
-    if (retryAt !== undefined) times.push(retryAt);
     return Math.min(...times.filter((at) => at > now));
   }
 
@@ -868,9 +713,3 @@
     } else metrics.increment("dispatch.not_run", 1, tags);
   }
 }
-
-function stateOf(value: unknown): "cold" | "warm" | "draining" | undefined {
-  return value === "cold" || value === "warm" || value === "draining"
-    ? value
-    : undefined;
-}
--- a/src/upstreams/dispatcher_pool.ts
+++ b/src/upstreams/dispatcher_pool.ts
@@ -215,12 +215,10 @@
 
   #keepOrStart(key: string, tenure: Tenure): void {
     const known = this.#held.get(key);
-    if (
-      known !== undefined && known.dispatcher.epoch === tenure.epoch &&
-      known.address === tenure.address
-    ) return;
     if (known !== undefined) {
-      if (known.dispatcher.epoch > tenure.epoch) return;
+      const { epoch } = known.dispatcher;
+      if (epoch > tenure.epoch) return;
+      if (epoch === tenure.epoch && known.address === tenure.address) return;
       this.#stop(key, known);
     }
     const cfg = this.#service(tenure.service);
--- /dev/null
+++ b/tests/support/scripted_upstream.ts
@@ -0,0 +1,146 @@
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { setImmediate } from "node:timers/promises";
+
+type Headers = Record<string, string>;
+type Step =
+  | { kind: "answer"; status?: number; headers?: Headers; body?: string }
+  /** Answers when the promise resolves. */
+  | { kind: "late"; until: Promise<void>; headers?: Headers }
+  /** Reads the request and never answers. */
+  | { kind: "silent" }
+  | { kind: "cut_before_answer" }
+  | { kind: "cut_after_headers" }
+  | { kind: "cut_in_body" };
+type Received = {
+  method: string;
+  url: string;
+  headers: IncomingMessage["headers"];
+  body: string;
+  connection: number;
+  /** Whether the router has closed the request's connection. */
+  closed: boolean;
+};
+
+/** An upstream over `node:http` that answers as the test says. */
+export class ScriptedUpstream {
+  readonly received: Received[] = [];
+  /** Used up in order of arrival; then `otherwise` applies. */
+  steps: Step[] = [];
+  otherwise: Step = { kind: "answer" };
+  mostAtATime = 0;
+  #running = 0;
+  #port = 0;
+  #server: Server | undefined;
+  readonly #sockets = new Map<Socket, number>();
+  #connections = 0;
+
+  /** Starts to listen, again on the same port after `refuse`. */
+  async listen(): Promise<void> {
+    const server = createServer((req, res) => void this.#serve(req, res));
+    server.keepAliveTimeout = 0;
+    server.on("connection", (socket) => {
+      this.#sockets.set(socket, this.#connections++);
+      socket.on("close", () => this.#sockets.delete(socket));
+    });
+    server.listen(this.#port, "127.0.0.1");
+    await once(server, "listening");
+    this.#port = (server.address() as AddressInfo).port;
+    this.#server = server;
+  }
+
+  get address(): string {
+    return `127.0.0.1:${this.#port}`;
+  }
+
+  /** Connections that are open now. */
+  get open(): number {
+    return this.#sockets.size;
+  }
+
+  /** Resets every connection and refuses new ones. */
+  async refuse(): Promise<void> {
+    const server = this.#server;
+    if (server === undefined) return;
+    this.#server = undefined;
+    server.close();
+    this.reset();
+    await once(server, "close");
+  }
+
+  /** Resets every connection, as a process does that was killed. */
+  reset(): void {
+    for (const socket of this.#sockets.keys()) socket.resetAndDestroy();
+  }
+
+  /**
+   * Waits until a condition holds that depends on network traffic.
+   *
+   * @param condition - looked at after each turn of the event loop
+   */
+  async until(condition: () => boolean): Promise<void> {
+    while (!condition()) await setImmediate();
+  }
+
+  /**
+   * @param count - waits until this many requests have arrived in all
+   */
+  arrived(count: number): Promise<void> {
+    return this.until(() => this.received.length >= count);
+  }
+
+  async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const step = this.steps.shift() ?? this.otherwise;
+    this.#running += 1;
+    this.mostAtATime = Math.max(this.mostAtATime, this.#running);
+    const record: Received = {
+      method: req.method ?? "",
+      url: req.url ?? "",
+      headers: req.headers,
+      body: "",
+      connection: this.#sockets.get(req.socket) ?? -1,
+      closed: false,
+    };
+    res.on("close", () => {
+      this.#running -= 1;
+      record.closed = !res.writableFinished;
+    });
+    req.on("error", () => undefined);
+    try {
+      for await (const chunk of req) record.body += String(chunk);
+    } catch {
+      return;
+    }
+    this.received.push(record);
+    switch (step.kind) {
+      case "answer":
+        res.writeHead(step.status ?? 200, step.headers);
+        res.end(step.body ?? "done");
+        break;
+      case "late":
+        await step.until;
+        res.writeHead(200, step.headers);
+        res.end("late");
+        break;
+      case "silent":
+        break;
+      case "cut_before_answer":
+        req.socket.destroy();
+        break;
+      case "cut_after_headers":
+        res.writeHead(200, { "content-length": "10" });
+        res.flushHeaders();
+        await setImmediate();
+        req.socket.destroy();
+        break;
+      case "cut_in_body":
+        res.writeHead(200);
+        res.write("part");
+        await setImmediate();
+        req.socket.destroy();
+        break;
+    }
+  }
+}
