--- /dev/null
+++ b/src/upstreams/dispatcher.ts
@@ -0,0 +1,715 @@
+import type { Clock } from "../base/clock.ts";
+import type { Logger } from "../base/logger.ts";
+import type { Metrics } from "../base/metrics.ts";
+import type { Service } from "../catalogue/service.ts";
+import type { ServerGrants } from "../contracts/server_grants.ts";
+import type { UpstreamReports } from "../contracts/upstream_reports.ts";
+import { HOP_HEADER } from "../links/hop_header.ts";
+import type { RenewReport } from "../regions/renew_report.ts";
+import type { AssignmentView } from "../shards/assignment_view.ts";
+import type { Unit } from "../shards/unit.ts";
+import { AbandonedRuns } from "./abandoned_runs.ts";
+import { AttemptAbandoned } from "./attempt_abandoned.ts";
+import { attemptOutcome } from "./attempt_outcome.ts";
+import { DispatchJob } from "./dispatch_job.ts";
+import type { DispatchOutcome } from "./dispatch_outcome.ts";
+import { DispatchQueue } from "./dispatch_queue.ts";
+import type { DispatchRequest } from "./dispatch_request.ts";
+import { DueTimer } from "./due_timer.ts";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
+import { GrantKeeper } from "./grant_keeper.ts";
+import { HotKeySketch } from "./hot_key_sketch.ts";
+import { OwnedUnits } from "./owned_units.ts";
+import { RateMeter } from "./rate_meter.ts";
+import { refused } from "./refused.ts";
+import { ServiceTimeEstimate } from "./service_time_estimate.ts";
+import { UpstreamCondition } from "./upstream_condition.ts";
+import { UpstreamConnections } from "./upstream_connections.ts";
+import { UpstreamExchange } from "./upstream_exchange.ts";
+
+type Options = {
+  vm: string;
+  region: string;
+  service: string;
+  upstream: string;
+  /** `ip:port` of the upstream. */
+  address: string;
+  epoch: number;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  assignments: AssignmentView;
+  reports: UpstreamReports;
+  /** Undefined if the upstream does not check grants. */
+  grants: ServerGrants | undefined;
+  /** The service as the catalogue in force describes it. */
+  cfg: () => Service;
+  timing: { grantRenewMs: number; healthPollMs: number };
+  /** End of the dispatch lease on this router's clock. */
+  leaseEndsAt: () => number;
+  nextGrantSeq: (above: number) => number;
+  /** Requests of an earlier tenure that still run at the upstream. */
+  busyBefore: () => number;
+  /** The report to the coordinator has changed. */
+  onChange: () => void;
+  /** The upstream holds a grant of a later tenure. */
+  onSuperseded: () => void;
+  /** The process stops: everything ends at once. */
+  signal: AbortSignal;
+};
+
+type Mode =
+  /** Accepts requests while the dispatch lease runs. */
+  | "live"
+  /** Waits for its requests to end before the tenure is handed over. */
+  | "draining"
+  /** The dispatch lease ended; it may come back with the same epoch. */
+  | "suspended"
+  /** The tenure has ended for good. */
+  | "stopped";
+
+/** The coordinator moves the units of a draining upstream meanwhile. */
+const DRAINING_ACCEPT_MS = 1000;
+const HOT_KEY_SHARE = 0.1;
+const HOT_KEY_MIN_PER_S = 1;
+
+/** Sends requests to one upstream during one tenure. */
+export class Dispatcher {
+  readonly epoch: number;
+  readonly owned: OwnedUnits;
+  readonly #options: Options;
+  readonly #clock: Clock;
+  readonly #queue = new DispatchQueue<DispatchJob>();
+  readonly #running = new Set<DispatchJob>();
+  readonly #condition: UpstreamCondition;
+  readonly #rate: RateMeter;
+  readonly #hotKeys: HotKeySketch;
+  readonly #abandoned: AbandonedRuns;
+  readonly #connections: UpstreamConnections;
+  readonly #keeper: GrantKeeper | undefined;
+  readonly #timer: DueTimer;
+  /** Ends the tasks of the tenure. */
+  readonly #tenure = new AbortController();
+  /** Ends connections and timers, after the last request. */
+  readonly #end = new AbortController();
+  #mode: Mode = "live";
+  #drainingSince: number | undefined;
+  #grantedUnits = "";
+
+  /**
+   * Starts the tenure.
+   *
+   * @param options - the tenure, and what it depends on
+   */
+  constructor(options: Options) {
+    this.#options = options;
+    const { address, clock, grants, timing } = options;
+    this.epoch = options.epoch;
+    this.#clock = clock;
+    this.owned = new OwnedUnits(options);
+    this.#condition = new UpstreamCondition({
+      ...options,
+      healthPollMs: timing.healthPollMs,
+      active: () => this.accepting,
+      unansweredSince: () => this.#unansweredSince(),
+      onAnswer: () => this.#giveUpSilent(),
+      onChange: () => this.#onStateChange(),
+      onRestart: () => this.#keeper?.forgetClock(),
+      onDueAt: (at) => this.#timer.set(at),
+      signal: this.#end.signal,
+    });
+    this.#rate = new RateMeter(clock);
+    this.#hotKeys = new HotKeySketch(clock);
+    this.#abandoned = new AbandonedRuns(clock);
+    this.#connections = new UpstreamConnections({
+      address,
+      clock,
+      signal: this.#end.signal,
+      onConnected: () => this.#condition.onConnected(),
+      onConnectFailed: () => this.#condition.onConnectFailed(),
+      onAllClosed: (reset) => this.#condition.onAllClosed(reset),
+    });
+    this.#keeper = grants && new GrantKeeper({
+      address,
+      clock,
+      grants,
+      logger: options.logger,
+      dispatcher: options.vm,
+      epoch: options.epoch,
+      renewMs: timing.grantRenewMs,
+      units: () => this.owned.granted(),
+      leaseEndsAt: options.leaseEndsAt,
+      nextSeq: options.nextGrantSeq,
+      onSuperseded: options.onSuperseded,
+      onChange: () => {
+        this.#checkReleases();
+        this.#pump();
+        options.onChange();
+      },
+    });
+    this.#timer = new DueTimer({
+      clock,
+      signal: this.#end.signal,
+      onDue: () => this.#onDue(),
+    });
+    options.signal.addEventListener("abort", this.#abort, { once: true });
+    void this.#condition.run(this.#tenure.signal);
+    void this.#keeper?.run(this.#tenure.signal);
+  }
+
+  /**
+   * @returns requests handed to a connection and not ended
+   */
+  get inFlight(): number {
+    return this.#running.size;
+  }
+
+  /**
+   * @returns whether requests are accepted
+   */
+  get accepting(): boolean {
+    return this.#mode === "live" && this.#leaseRuns();
+  }
+
+  /**
+   * @returns whether the tenure is being handed over
+   */
+  get draining(): boolean {
+    return this.#mode === "draining";
+  }
+
+  /**
+   * @returns whether the tenure is handed over and its last request has ended
+   */
+  get drained(): boolean {
+    return this.#mode === "draining" && this.#running.size === 0;
+  }
+
+  /**
+   * Makes one attempt.
+   *
+   * @param req - request for this upstream
+   * @param signal - the caller went away
+   * @returns the response or a refusal
+   */
+  dispatch(
+    req: DispatchRequest,
+    signal: AbortSignal,
+  ): Promise<DispatchOutcome> {
+    const refusal = this.#refuseNow(req, signal);
+    if (refusal !== undefined) return Promise.resolve(refusal);
+    const unit = req.digest === undefined
+      ? undefined
+      : this.owned.accepts(req.digest);
+    if (req.digest !== undefined) {
+      if (unit === undefined) {
+        return Promise.resolve(refused(
+          "not_owner",
+          "not_run",
+          "the upstream does not own the key",
+        ));
+      }
+      this.#hotKeys.add(req.digest);
+    }
+    const job = new DispatchJob(req, unit, signal);
+    this.#queue.push(job);
+    this.#pump();
+    if (
+      job.progress.kind === "queued" &&
+      this.#queue.size > this.#options.cfg().queue
+    ) {
+      this.#queue.removeAll((other) => other === job);
+      return Promise.resolve(refused(
+        "queue_full",
+        "not_run",
+        "too many requests wait for the upstream",
+        { waitMs: this.waitMs() },
+      ));
+    }
+    if (job.progress.kind === "queued") {
+      this.#timer.set(req.deadlineAt);
+      const cancel = () => {
+        if (job.progress.kind !== "queued") return;
+        this.#refuseQueued((other) => other === job, "cancelled");
+      };
+      signal.addEventListener("abort", cancel, { once: true });
+      void job.outcome.then(() => {
+        signal.removeEventListener("abort", cancel);
+      });
+    }
+    return job.outcome;
+  }
+
+  /**
+   * @returns milliseconds until a request that arrived now would be answered
+   */
+  waitMs(): number {
+    const waiting = this.#running.size + this.#queue.size;
+    const ms = ServiceTimeEstimate.waitMs(
+      waiting,
+      this.#slots(),
+      this.#serviceMs(),
+    );
+    if (!this.#condition.cold) return ms;
+    const startsIn =
+      this.#condition.warmUp.nextStartAt(this.#condition.estimate.median()) -
+      this.#clock.now();
+    return Math.max(ms, startsIn);
+  }
+
+  /**
+   * @returns what the coordinator is told of the upstream
+   */
+  report(): RenewReport["upstreams"][number] {
+    const { service, upstream } = this.#options;
+    return {
+      service,
+      upstream,
+      state: this.#condition.state,
+      inFlight: this.#running.size,
+      queued: this.#queue.size,
+      serviceMs: this.#serviceMs(),
+      ratePerS: this.#rate.perSecond(),
+    };
+  }
+
+  /**
+   * @returns keys that carry much of the upstream's load
+   */
+  hotKeys(): RenewReport["hotKeys"] {
+    const { service, upstream } = this.#options;
+    // The coordinator needs the rate of a pinned key to unpin it.
+    const pinned = new Set(this.owned.pinned());
+    return this.#hotKeys.hot(HOT_KEY_SHARE, HOT_KEY_MIN_PER_S, pinned)
+      .map(({ digest, ratePerS }) => ({ service, digest, upstream, ratePerS }));
+  }
+
+  /**
+   * Names the units whose release is complete; from now on only a newer
+   * coordinator gives them back.
+   *
+   * @returns the units for the next report
+   */
+  takeReleased(): RenewReport["released"] {
+    const { service, upstream } = this.#options;
+    return this.owned.releases().flatMap(({ unit, drained }) => {
+      if (!drained) return [];
+      if (this.#keeper !== undefined && !this.#keeper.triedWithout(unit)) {
+        return [];
+      }
+      this.owned.markReported(unit);
+      return [{ service, upstream, unit, readyInMs: this.#readyInMs(unit) }];
+    });
+  }
+
+  /**
+   * @param coordinatorEpoch - epoch of the coordinator that answered
+   * @param units - complete list of units to release
+   */
+  setReleases(coordinatorEpoch: number, units: readonly Unit[]): void {
+    this.owned.setReleases(coordinatorEpoch, units, this.#clock.now());
+    this.#unitsChanged();
+  }
+
+  /** The assignment row or the catalogue has changed. */
+  rowChanged(): void {
+    this.#condition.warmUp.update(this.#options.cfg());
+    this.owned.rowChanged();
+    this.#unitsChanged();
+  }
+
+  /** Stops sending, because the dispatch lease has ended. */
+  suspend(): void {
+    if (this.#mode === "stopped") return;
+    this.#mode = "suspended";
+    this.#refuseQueued(() => true, "not_dispatcher");
+  }
+
+  /** Accepts requests again, with the same epoch. */
+  resume(): void {
+    if (this.#mode === "stopped") return;
+    this.#mode = "live";
+    this.#drainingSince = undefined;
+    this.#condition.reconsider();
+    this.#keeper?.changed();
+    this.#pump();
+  }
+
+  /** Accepts nothing more and waits for the requests in flight. */
+  drain(): void {
+    if (this.#mode === "draining" || this.#mode === "stopped") return;
+    this.#mode = "draining";
+    this.#drainingSince = this.#clock.now();
+    this.#refuseQueued(() => true, "not_dispatcher");
+    this.#timer.set(this.#drainingSince + this.#options.cfg().maxRunMs);
+  }
+
+  /** Ends the tenure; requests in flight may end. */
+  stop(): void {
+    if (this.#mode === "stopped") return;
+    this.#mode = "stopped";
+    this.#refuseQueued(() => true, "not_dispatcher");
+    this.#tenure.abort();
+    this.#endWhenIdle();
+  }
+
+  readonly #abort = (): void => {
+    this.stop();
+    for (const job of this.#running) {
+      job.exchange?.abandon(new AttemptAbandoned("stopped"));
+    }
+    this.#end.abort();
+  };
+
+  #endWhenIdle(): void {
+    if (this.#mode !== "stopped" || this.#running.size > 0) return;
+    this.#options.signal.removeEventListener("abort", this.#abort);
+    this.#end.abort();
+  }
+
+  #leaseRuns(): boolean {
+    return this.#clock.now() < this.#options.leaseEndsAt();
+  }
+
+  #slots(): number {
+    const { connections, slots } = this.#options.cfg();
+    return Math.min(slots, UpstreamConnections.usable(connections));
+  }
+
+  /**
+   * The median lags while requests are stuck: if even the youngest of a full
+   * set of slots has waited longer, that is the better estimate.
+   */
+  #serviceMs(): number {
+    const median = this.#condition.estimate.median();
+    const now = this.#clock.now();
+    let stuck = Infinity;
+    for (const { progress } of this.#running) {
+      stuck = Math.min(stuck, progress.kind === "sent" ? now - progress.at : 0);
+    }
+    return this.#running.size < this.#slots() ? median : Math.max(
+      median,
+      stuck,
+    );
+  }
+
+  #refuseNow(
+    req: DispatchRequest,
+    signal: AbortSignal,
+  ): DispatchOutcome | undefined {
+    const now = this.#clock.now();
+    if (!this.accepting) {
+      return refused(
+        "not_dispatcher",
+        "not_run",
+        "this router is not the dispatcher of the upstream",
+      );
+    }
+    if (signal.aborted) {
+      return refused("upstream_unavailable", "not_run", "the caller went away");
+    }
+    if (req.deadlineAt <= now) {
+      return refused(
+        "deadline_exceeded",
+        "not_run",
+        "the time of the request is over",
+      );
+    }
+    if (this.#condition.lost) {
+      return refused(
+        "upstream_unavailable",
+        "not_run",
+        "the upstream does not answer",
+      );
+    }
+    const since = this.#condition.drainingSince;
+    if (since !== undefined && now - since >= DRAINING_ACCEPT_MS) {
+      return refused("draining", "not_run", "the upstream is draining");
+    }
+    return undefined;
+  }
+
+  #refuseQueued(
+    matches: (job: DispatchJob) => boolean,
+    reason: AttemptAbandoned["reason"],
+  ): void {
+    const err = new AttemptAbandoned(reason);
+    for (const job of this.#queue.removeAll(matches)) {
+      job.settle(attemptOutcome({ kind: "not_sent", err }, 0));
+    }
+  }
+
+  /** Starts as many waiting requests as the limits allow. */
+  #pump(): void {
+    if (this.#mode !== "live" || this.#queue.size === 0) return;
+    if (!this.#leaseRuns()) {
+      this.#refuseQueued(() => true, "not_dispatcher");
+      return;
+    }
+    while (this.#queue.size > 0 && this.#mayStart()) {
+      const job = this.#queue.take((item) =>
+        item.unit === undefined || this.#keeper?.holds(item.unit) !== false
+      );
+      if (job === undefined) return;
+      void this.#run(job);
+    }
+  }
+
+  #mayStart(): boolean {
+    const median = this.#condition.estimate.median();
+    const running = this.#running.size + this.#options.busyBefore();
+    if (running >= this.#slots()) return false;
+    if (!this.#condition.warmUp.isCold(median)) return true;
+    // A request that was given up may still use a cold upstream.
+    const used = running + this.#abandoned.count();
+    if (used >= this.#condition.warmUp.concurrency(median)) {
+      this.#timer.set(this.#abandoned.nextEndAt());
+      return false;
+    }
+    const startAt = this.#condition.warmUp.nextStartAt(median);
+    if (startAt > this.#clock.now()) {
+      this.#timer.set(startAt);
+      return false;
+    }
+    return true;
+  }
+
+  async #run(job: DispatchJob): Promise<void> {
+    const { connections, maxRunMs } = this.#options.cfg();
+    const { req } = job;
+    const startedAt = this.#clock.now();
+    job.progress = { kind: "connecting" };
+    this.#running.add(job);
+    this.#condition.warmUp.started();
+    this.#rate.add();
+    this.#timer.set(req.deadlineAt);
+    const connection = this.#connections.acquire(
+      UpstreamConnections.usable(connections),
+      req.idempotent,
+    );
+    const runMs = Math.ceil(Math.min(maxRunMs, req.deadlineAt - startedAt));
+    const cancel = () =>
+      job.exchange?.abandon(new AttemptAbandoned("cancelled"));
+    job.signal.addEventListener("abort", cancel, { once: true });
+    job.exchange = new UpstreamExchange({
+      connection,
+      request: req,
+      headers: this.#requestHeaders(job, runMs),
+      beforeSend: () => this.#beforeSend(job, runMs),
+      onEnded: (err) => {
+        job.signal.removeEventListener("abort", cancel);
+        if (err === undefined) this.#connections.release(connection);
+        else this.#connections.discard(connection, err);
+        this.#onEnded(job, err === undefined);
+      },
+    });
+    const head = await job.exchange.head;
+    const answeredAt = this.#clock.now();
+    if (head.kind === "answered") this.#onAnswer(job, head);
+    const outcome = attemptOutcome(head, this.waitMs());
+    if (head.kind === "answered" && outcome.kind === "refused") {
+      head.body.resume();
+    }
+    this.#count(outcome, answeredAt - startedAt);
+    job.settle(outcome);
+  }
+
+  #requestHeaders(
+    job: DispatchJob,
+    runMs: number,
+  ): Record<string, string | string[]> {
+    const headers = endToEndHeaders(job.req.headers);
+    // undici sends no request that expects an interim response.
+    delete headers.expect;
+    headers[HOP_HEADER.requestId] = job.req.requestId;
+    headers[HOP_HEADER.epoch] = String(this.epoch);
+    headers[HOP_HEADER.deadlineMs] = String(runMs);
+    if (job.unit !== undefined) headers[HOP_HEADER.unit] = job.unit;
+    return headers;
+  }
+
+  /** The last check, right before the first byte is written. */
+  #beforeSend(job: DispatchJob, runMs: number): Error | undefined {
+    const now = this.#clock.now();
+    const { deadlineAt, digest } = job.req;
+    if (!this.#leaseRuns() || this.#mode === "stopped") {
+      return new AttemptAbandoned("not_dispatcher");
+    }
+    if (digest !== undefined && this.owned.accepts(digest) !== job.unit) {
+      return new AttemptAbandoned("not_owner");
+    }
+    if (deadlineAt <= now) return new AttemptAbandoned("deadline");
+    job.progress = { kind: "sent", at: now, runEndsAt: now + runMs };
+    this.#timer.set(now + runMs);
+    this.#condition.sent();
+    return undefined;
+  }
+
+  #onAnswer(
+    job: DispatchJob,
+    head: Parameters<UpstreamCondition["onAnswer"]>[0],
+  ): void {
+    const { progress } = job;
+    if (progress.kind !== "sent") return;
+    job.progress = { kind: "answered", runEndsAt: progress.runEndsAt };
+    if (head.headers[HOP_HEADER.notRun] === "grant") this.#keeper?.changed();
+    this.#condition.onAnswer(head, progress.at);
+  }
+
+  #onStateChange(): void {
+    if (this.#condition.lost) this.#refuseQueued(() => true, "silent");
+    this.#checkReleases();
+    this.#options.onChange();
+    this.#pump();
+  }
+
+  /** When the oldest request without an answer byte was sent. */
+  #unansweredSince(): number | undefined {
+    let oldest: number | undefined;
+    for (const { progress } of this.#running) {
+      if (progress.kind !== "sent") continue;
+      oldest = Math.min(oldest ?? Infinity, progress.at);
+    }
+    return oldest;
+  }
+
+  /** Closes connections that are silent while the upstream answers others. */
+  #giveUpSilent(): void {
+    const now = this.#clock.now();
+    const { silenceMs } = this.#condition;
+    for (const job of this.#running) {
+      const { progress } = job;
+      if (progress.kind !== "sent" || now - progress.at < silenceMs) continue;
+      if (!this.#condition.answeredOthersSince(progress.at)) continue;
+      this.#condition.estimate.add(now - progress.at);
+      job.exchange?.abandon(new AttemptAbandoned("silent"));
+    }
+  }
+
+  #onEnded(job: DispatchJob, clean: boolean): void {
+    this.#running.delete(job);
+    const { progress } = job;
+    if (!clean && "runEndsAt" in progress) {
+      this.#abandoned.add({
+        unit: job.unit,
+        digest: job.req.digest,
+        until: progress.runEndsAt,
+      });
+    }
+    this.#checkReleases();
+    this.#pump();
+    if (this.drained) this.#options.onChange();
+    this.#endWhenIdle();
+  }
+
+  #unitsChanged(): void {
+    for (const job of this.#queue.items()) {
+      if (job.req.digest === undefined) continue;
+      job.unit = this.owned.accepts(job.req.digest);
+    }
+    this.#refuseQueued(
+      (job) => job.req.digest !== undefined && job.unit === undefined,
+      "not_owner",
+    );
+    this.#checkReleases();
+    this.#regrant();
+    this.#pump();
+  }
+
+  #regrant(): void {
+    if (this.#keeper === undefined) return;
+    const units = this.owned.granted().join();
+    if (units === this.#grantedUnits) return;
+    this.#grantedUnits = units;
+    this.#keeper.changed();
+  }
+
+  /** Marks releases as drained, and cuts what has taken too long. */
+  #checkReleases(): void {
+    const now = this.#clock.now();
+    const { maxRunMs } = this.#options.cfg();
+    let drained = false;
+    for (const release of this.owned.releases()) {
+      if (release.drained) continue;
+      const jobs = [...this.#running].filter((job) =>
+        job.concerns(release.unit)
+      );
+      if (jobs.length === 0) {
+        this.owned.markDrained(release.unit);
+        drained = true;
+      } else if (this.#condition.lost || now >= release.since + maxRunMs) {
+        for (const job of jobs) {
+          job.exchange?.abandon(new AttemptAbandoned("handed_over"));
+        }
+      } else this.#timer.set(release.since + maxRunMs);
+    }
+    if (!drained) return;
+    this.#regrant();
+    this.#options.onChange();
+  }
+
+  /** Time until nothing at the upstream can serve a released unit any more. */
+  #readyInMs(unit: Unit): number {
+    const granted = this.#keeper?.remainingMs(unit) ?? 0;
+    // An upstream that checks grants checks again before a request takes
+    // effect. That does not help with a key that leaves a shard, because the
+    // requests name the shard, which stays granted.
+    const running = this.#abandoned.remainingMs((run) =>
+      run.unit === unit
+        ? this.#keeper === undefined
+        : `pin:${run.digest}` === unit
+    );
+    return Math.max(granted, running);
+  }
+
+  /** Handles everything whose time has come; returns the next time. */
+  #onDue(): number {
+    const now = this.#clock.now();
+    this.#refuseQueued((job) => job.req.deadlineAt <= now, "deadline");
+    for (const job of this.#running) {
+      if (job.req.deadlineAt <= now) {
+        job.exchange?.abandon(new AttemptAbandoned("deadline"));
+      } else if (
+        job.progress.kind === "sent" && job.progress.runEndsAt <= now
+      ) {
+        this.#condition.estimate.add(now - job.progress.at);
+        job.exchange?.abandon(new AttemptAbandoned("run_limit"));
+      }
+    }
+    this.#giveUpSilent();
+    this.#checkReleases();
+    if (
+      this.#drainingSince !== undefined &&
+      now >= this.#drainingSince + this.#options.cfg().maxRunMs
+    ) {
+      for (const job of this.#running) {
+        job.exchange?.abandon(new AttemptAbandoned("handed_over"));
+      }
+    }
+    const checkAt = this.#condition.due();
+    this.#pump();
+    return Math.min(checkAt, this.#nextDue());
+  }
+
+  #nextDue(): number {
+    const now = this.#clock.now();
+    const times: number[] = [];
+    for (const job of this.#queue.items()) times.push(job.req.deadlineAt);
+    for (const { progress, req } of this.#running) {
+      times.push(req.deadlineAt);
+      if (progress.kind !== "sent") continue;
+      times.push(progress.runEndsAt, progress.at + this.#condition.silenceMs);
+    }
+    return Math.min(...times.filter((at) => at > now));
+  }
+
+  #count(outcome: DispatchOutcome, ms: number): void {
+    const { metrics, region, service } = this.#options;
+    const tags = { service, region };
+    if (outcome.kind === "response") {
+      metrics.timing("dispatch.answer_ms", ms, tags);
+    } else if (outcome.refusal.outcome === "outcome_unknown") {
+      metrics.increment("dispatch.outcome_unknown", 1, tags);
+    } else metrics.increment("dispatch.not_run", 1, tags);
+  }
+}
