--- /dev/null
+++ b/src/entry/body_failure.ts
@@ -0,0 +1,16 @@
+import type { Refusal } from "../base/refusal.ts";
+
+/** Error of a body stream that the caller, not the router, has to answer for. */
+export class BodyFailure extends Error {
+  readonly code: Refusal["code"];
+
+  /**
+   * @param code - the refusal code for the caller
+   * @param message - what was wrong with the body
+   */
+  constructor(code: Refusal["code"], message: string) {
+    super(message);
+    this.name = "BodyFailure";
+    this.code = code;
+  }
+}
--- /dev/null
+++ b/src/entry/probe_app.ts
@@ -0,0 +1,15 @@
+import { Hono } from "hono";
+
+/**
+ * @param isReady - whether the load balancer may send requests to this router
+ * @returns the routes that tell the platform about this router
+ */
+export function probeApp(isReady: () => boolean): Hono {
+  const app = new Hono();
+  app.get("/-/live", (c) => c.json({ live: true }));
+  app.get("/-/ready", (c) => {
+    const ready = isReady();
+    return c.json({ ready }, ready ? 200 : 503);
+  });
+  return app;
+}
--- /dev/null
+++ b/src/entry/refuse_broken_request.ts
@@ -0,0 +1,51 @@
+import { randomUUID } from "node:crypto";
+import type { Socket } from "node:net";
+import type { Refusal } from "../base/refusal.ts";
+import { REFUSAL_STATUS } from "../base/refusal_status.ts";
+import { HOP_HEADER } from "../links/hop_header.ts";
+
+function refusalFor(code: string | undefined): Refusal | undefined {
+  if (code === "HPE_HEADER_OVERFLOW") {
+    return {
+      code: "headers_too_large",
+      outcome: "not_run",
+      message: "the headers are too large",
+    };
+  }
+  if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
+    return {
+      code: "slow_sender",
+      outcome: "not_run",
+      message: "the headers arrive too slowly",
+    };
+  }
+  return undefined;
+}
+
+/**
+ * Answers on a connection on which no request could be parsed, and closes it.
+ *
+ * @param socket - connection without a request in flight
+ * @param code - code of the error that Node's server reported
+ */
+export function refuseBrokenRequest(
+  socket: Socket,
+  code: string | undefined,
+): void {
+  const refusal = refusalFor(code);
+  if (refusal === undefined) {
+    socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+    return;
+  }
+  const requestId = randomUUID();
+  const json = JSON.stringify({ ...refusal, requestId, data: {} });
+  const lines = [
+    `HTTP/1.1 ${REFUSAL_STATUS[refusal.code]} Refused`,
+    "Content-Type: application/json",
+    `Content-Length: ${Buffer.byteLength(json)}`,
+    `${HOP_HEADER.outcome}: ${refusal.outcome}`,
+    `${HOP_HEADER.requestId}: ${requestId}`,
+    "Connection: close",
+  ];
+  socket.end(`${lines.join("\r\n")}\r\n\r\n${json}`);
+}
--- /dev/null
+++ b/src/links/hop_server.ts
@@ -0,0 +1,171 @@
+import { createHash, timingSafeEqual } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "../base/clock.ts";
+import type { Refusal } from "../base/refusal.ts";
+import type { Entry } from "../catalogue/entry.ts";
+import type { DispatchRequest } from "../upstreams/dispatch_request.ts";
+import type { Dispatching } from "../upstreams/dispatching.ts";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
+import { hasBody } from "./has_body.ts";
+import { HOP_HEADER } from "./hop_header.ts";
+import { HopRequestHeader } from "./hop_request_header.ts";
+import { writeAnswer } from "./write_answer.ts";
+import { writeRefusal } from "./write_refusal.ts";
+
+const PREFIX = "/hop";
+// Tells the sender that the connection is alive while the answer is pending;
+// the sender gives up after 1 s without a byte.
+const INTERIM_MS = 300;
+
+/** Handles requests that other routers send to the dispatchers on this one. */
+export class HopServer {
+  readonly #opts: {
+    clock: Clock;
+    region: string;
+    findEntry: (name: string) => Entry | undefined;
+    local: Dispatching;
+  };
+  readonly #credentialHash: Buffer;
+  /** Requests without an answer yet. */
+  readonly #pending = new Set<ServerResponse>();
+
+  /**
+   * @param opts - clock, own region, the entries of the catalogue in force,
+   * the dispatchers of this router, the credential of the routers, and the
+   * signal that ends the sending of interim answers
+   */
+  constructor(opts: {
+    clock: Clock;
+    region: string;
+    findEntry: (name: string) => Entry | undefined;
+    local: Dispatching;
+    credential: string;
+    signal: AbortSignal;
+  }) {
+    this.#opts = opts;
+    this.#credentialHash = createHash("sha256").update(opts.credential)
+      .digest();
+    void this.#sendInterim(opts.signal);
+  }
+
+  /**
+   * @param req - request whose URL begins with `/hop/`
+   * @param res - its response
+   * @returns a promise that resolves when the response has ended or was cut
+   */
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (!this.#isPeer(req)) {
+      // Says nothing about the router to whoever is not one.
+      this.#refuse(req, res, {
+        code: "not_dispatcher",
+        outcome: "not_run",
+        message: "the peer credential is not valid",
+      }, 401);
+      return;
+    }
+    const parsed = this.#parse(req);
+    if ("code" in parsed) {
+      this.#refuse(req, res, parsed);
+      return;
+    }
+    const gone = new AbortController();
+    res.once("close", () => {
+      if (!res.writableFinished) gone.abort();
+    });
+    this.#pending.add(res);
+    const outcome = await this.#opts.local.dispatch(parsed, gone.signal)
+      .finally(() => this.#pending.delete(res));
+    if (outcome.kind === "refused") {
+      this.#refuse(req, res, outcome.refusal);
+      return;
+    }
+    const headers = endToEndHeaders(
+      Object.entries(outcome.headers).flatMap(([name, value]) =>
+        [value].flat().flatMap((one) => [name, one])
+      ),
+    );
+    headers[HOP_HEADER.waitMs] = String(Math.max(0, outcome.waitMs));
+    await writeAnswer(res, { ...outcome, headers });
+  }
+
+  #isPeer(req: IncomingMessage): boolean {
+    const given = req.headers[HOP_HEADER.credential];
+    if (typeof given !== "string") return false;
+    // Hashes have one length, which `timingSafeEqual` requires.
+    const hash = createHash("sha256").update(given).digest();
+    return timingSafeEqual(hash, this.#credentialHash);
+  }
+
+  #parse(req: IncomingMessage): DispatchRequest | Refusal {
+    const target = (req.url ?? "").slice(PREFIX.length);
+    const parsed = HopRequestHeader.safeParse(req.headers);
+    if (!parsed.success || !target.startsWith("/")) {
+      return {
+        code: "not_dispatcher",
+        outcome: "not_run",
+        message: "the headers of the hop are not valid",
+        data: {
+          failurePoint: "refused_for_good",
+          headers: parsed.error?.issues.map((issue) => issue.path.join(".")),
+        },
+      };
+    }
+    const own = parsed.data;
+    const name = own[HOP_HEADER.entry];
+    const entry = this.#opts.findEntry(name);
+    if (
+      entry?.service !== own[HOP_HEADER.service] ||
+      !entry.homeRegions.includes(this.#opts.region)
+    ) {
+      // The routers' catalogues differ for up to 3 s after a change; the
+      // sender tries again.
+      return {
+        code: "not_dispatcher",
+        outcome: "not_run",
+        message: "the entry is not served here by the catalogue in force",
+      };
+    }
+    return {
+      requestId: own[HOP_HEADER.requestId],
+      entry: name,
+      class: entry.class,
+      service: entry.service,
+      upstream: own[HOP_HEADER.upstream],
+      digest: own[HOP_HEADER.digest],
+      idempotent: entry.idempotent,
+      checksGrants: entry.checksGrants,
+      rowRevision: own[HOP_HEADER.rowRevision],
+      deadlineAt: this.#opts.clock.now() + own[HOP_HEADER.deadlineMs],
+      method: req.method ?? "GET",
+      target,
+      headers: endToEndHeaders(req.rawHeaders),
+      body: hasBody(req) ? req : undefined,
+    };
+  }
+
+  #refuse(
+    req: IncomingMessage,
+    res: ServerResponse,
+    refusal: Refusal,
+    status?: number,
+  ): void {
+    const requestId = req.headers[HOP_HEADER.requestId];
+    writeRefusal({
+      req,
+      res,
+      refusal,
+      requestId: typeof requestId === "string" ? requestId : "",
+      headers: { [HOP_HEADER.refusal]: refusal.code },
+      ...(status === undefined ? {} : { status }),
+    });
+  }
+
+  async #sendInterim(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#opts.clock.sleep(INTERIM_MS, signal);
+      for (const res of this.#pending) {
+        if (!res.headersSent && !res.destroyed) res.writeProcessing();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/tests/support/entry_rig.ts
@@ -0,0 +1,158 @@
+import { ok } from "neverthrow";
+import type { Clock } from "../../src/base/clock.ts";
+import { systemClock } from "../../src/base/system_clock.ts";
+import type { Entry } from "../../src/catalogue/entry.ts";
+import { Attempts } from "../../src/entry/attempts.ts";
+import { CallerListener } from "../../src/entry/caller_listener.ts";
+import { UpstreamChooser } from "../../src/entry/choose_upstream.ts";
+import { HoldQueue } from "../../src/entry/hold_queue.ts";
+import { Router } from "../../src/entry/router.ts";
+import { RetryBudget } from "../../src/limits/retry_budget.ts";
+import { HopClients } from "../../src/links/hop_clients.ts";
+import { HopServer } from "../../src/links/hop_server.ts";
+import { PeerListener } from "../../src/links/peer_listener.ts";
+import { AssignmentView } from "../../src/shards/assignment_view.ts";
+import type { Dispatching } from "../../src/upstreams/dispatching.ts";
+import { MemberView } from "../../src/vms/member_view.ts";
+import type { StoreMode } from "../../src/vms/store_mode.ts";
+import { testCatalogue } from "./test_catalogue.ts";
+
+const CREDENTIAL = "peer-credential";
+
+/**
+ * An entry router `r1` in `sierra` with dispatchers of its own, and a router
+ * `r2` behind a peer hop, around the given fakes.
+ */
+export class EntryRig {
+  readonly clock: Clock;
+  readonly assignments = new AssignmentView();
+  readonly members = new MemberView();
+  readonly end = new AbortController();
+  readonly hold: HoldQueue;
+  readonly attempts: Attempts;
+  readonly listener: CallerListener;
+  readonly peer: PeerListener;
+  mode: StoreMode = "current";
+  ready = true;
+  released = 0;
+  admitted = 0;
+  port = 0;
+
+  constructor(opts: {
+    local: Dispatching;
+    remote?: Dispatching;
+    entry?: Entry;
+    clock?: Clock;
+    held?: number;
+    requests?: Partial<
+      Record<
+        "maxHeaderBytes" | "headersTimeoutMs" | "bodyPauseMs" | "replayBytes",
+        number
+      >
+    >;
+  }) {
+    const clock = opts.clock ?? systemClock;
+    this.clock = clock;
+    const entry = opts.entry ?? testCatalogue.entry();
+    const requests = {
+      maxHeaderBytes: 16384,
+      headersTimeoutMs: 5000,
+      bodyPauseMs: 5000,
+      replayBytes: 65536,
+      ...opts.requests,
+    };
+    const { assignments, members } = this;
+    this.hold = new HoldQueue({ clock, assignments, limit: opts.held ?? 1000 });
+    const budget = new RetryBudget(clock);
+    const hops = new HopClients({
+      clock,
+      members,
+      credential: CREDENTIAL,
+      signal: this.end.signal,
+    });
+    this.attempts = new Attempts({
+      clock,
+      vm: "r1",
+      assignments,
+      chooser: new UpstreamChooser({
+        clock,
+        region: "sierra",
+        assignments,
+        members,
+        random: Math.random,
+      }),
+      local: opts.local,
+      remote: (vm) => hops.get(vm),
+      budget,
+      hold: this.hold,
+      holdMs: 5000,
+    });
+    const router = new Router({
+      clock,
+      contact: { mode: () => this.mode },
+      catalogue: testCatalogue.view(entry),
+      shares: {
+        admit: () => {
+          this.admitted++;
+          return Promise.resolve(ok({ release: () => this.released++ }));
+        },
+      },
+      budget,
+      attempts: this.attempts,
+      requests,
+    });
+    this.listener = new CallerListener({
+      clock,
+      requests,
+      router,
+      isReady: () => this.ready,
+      readinessDelayMs: 0,
+      logger: { error: (...args) => void this.logged.push(args) },
+    });
+    this.peer = new PeerListener({
+      clock,
+      requests,
+      rpc: (_, res) => res.end("rpc"),
+      hop: new HopServer({
+        clock,
+        region: "sierra",
+        findEntry: (name) => name === "e" ? entry : undefined,
+        local: opts.remote ?? opts.local,
+        credential: CREDENTIAL,
+        signal: this.end.signal,
+      }),
+    });
+  }
+
+  readonly logged: unknown[] = [];
+
+  /** Starts both listeners on ports chosen by the system. */
+  async start(): Promise<this> {
+    this.port = await this.listener.listen("127.0.0.1:0");
+    const peerPort = await this.peer.listen("127.0.0.1:0");
+    for (const [vm, port] of [["r1", 1], ["r2", peerPort]] as const) {
+      this.members.set(vm, {
+        schema: 1,
+        vm,
+        incarnation: "i",
+        region: "sierra",
+        failureDomain: "d1",
+        peerUrl: `http://127.0.0.1:${port}`,
+        witnesses: [],
+      });
+    }
+    return this;
+  }
+
+  /** The URL of the callers' listener. */
+  get url(): string {
+    return `http://127.0.0.1:${this.port}`;
+  }
+
+  /** Ends everything at once. */
+  stop(): void {
+    this.end.abort();
+    this.listener.close();
+    this.peer.close();
+  }
+}
