--- a/src/regions/renew_params.ts
+++ b/src/regions/renew_params.ts
@@ -6,6 +6,10 @@
   vm: z.string(),
   incarnation: z.string(),
   failureDomain: z.string(),
+  /** Grows with each report of this process; older reports are ignored. */
+  seq: z.int().positive(),
+  /** `seq` of the report whose answer was applied last; 0 for none. */
+  answeredSeq: z.int().nonnegative(),
   /** Epoch of the coordinator that last answered this router; 0 for none. */
   coordinatorEpoch: z.int().nonnegative(),
   /** Revision of each service's assignment row that the router has. */
