feat(regions): add the coordinator and the renewal task

Cause: nothing assigned shards or dispatchers or kept dispatch leases in force. Change: one term of a coordinator is a synchronous object that takes reports, plans releases, tenures and row writes, and gives leases; tasks around it read and write rows and answer dispatch.renew.

--- /dev/null
+++ b/src/regions/assignment_writer.ts
@@ -0,0 +1,157 @@
+import { err, ok, type Result } from "neverthrow";
+import type { Clock } from "../base/clock.ts";
+import type { Logger } from "../base/logger.ts";
+import type { TableError } from "../contracts/table_error.ts";
+import type { TableRow } from "../contracts/table_row.ts";
+import type { TableService } from "../contracts/table_service.ts";
+import { AssignmentRow } from "../shards/assignment_row.ts";
+import type { AssignmentView } from "../shards/assignment_view.ts";
+import type { CoordinatorLeaseView } from "./coordinator_lease_view.ts";
+import type { PlannedWrite } from "./planned_write.ts";
+import type { RegionTerm } from "./region_term.ts";
+
+type HeldRow = { revision: number; row: AssignmentRow };
+type Deps = {
+  region: string;
+  clock: Clock;
+  logger: Logger;
+  lease: CoordinatorLeaseView;
+  table: TableService;
+  assignments: AssignmentView;
+};
+
+const WRITE_TIMEOUT_MS = 1000;
+const READ_TIMEOUT_MS = 1000;
+const RETRY_MS = 100;
+
+/** Writes assignment rows and settles writes whose answer was lost. */
+export class AssignmentWriter {
+  readonly #deps: Deps;
+
+  /**
+   * @param deps - what the writer reads and calls
+   */
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /**
+   * @param signal - gives up waiting
+   * @returns the assignment rows of this region
+   */
+  async readRows(signal: AbortSignal): Promise<Result<HeldRow[], TableError>> {
+    const { table, region } = this.#deps;
+    const prefix = `assignments/${region}/`;
+    const read = await this.#withTimeout(
+      READ_TIMEOUT_MS,
+      signal,
+      async (limited) => await table.readRows({ prefix, since: 0 }, limited),
+    );
+    if (read.isErr()) return err(read.error);
+    return ok(read.value.rows.flatMap((row) => this.#parse(row)));
+  }
+
+  /**
+   * Makes one write and allows the next one of the service once the outcome is
+   * known.
+   *
+   * @param write - the change
+   * @param term - takes the row that is in the store afterwards
+   * @param limit - `holds` whether the term still lasts
+   */
+  async write(
+    write: PlannedWrite,
+    term: RegionTerm,
+    limit: { signal: AbortSignal; holds: () => boolean },
+  ): Promise<void> {
+    const { lease, clock, logger } = this.#deps;
+    const { service, row, transaction } = write;
+    const outcome = await this.#withTimeout(
+      WRITE_TIMEOUT_MS,
+      limit.signal,
+      async (limited) => await lease.writeFenced(transaction, limited),
+    );
+    let gainsBlocked = false;
+    if (outcome.isOk() && outcome.value.committed) {
+      this.#adopt({ revision: outcome.value.revision, row }, term);
+    } else if (outcome.isOk() && !outcome.value.committed) {
+      const conflicts = outcome.value.conflicts;
+      logger.warn(
+        { service, keys: conflicts.map((conflict) => conflict.key) },
+        "assignment write lost against another write",
+      );
+      for (const conflict of conflicts) {
+        for (const held of this.#parse(conflict)) {
+          if (held.row.region !== row.region) gainsBlocked = true;
+          this.#adopt(held, term);
+        }
+      }
+      await clock.sleep(RETRY_MS, limit.signal);
+    } else if (outcome.isErr() && outcome.error.kind === "unknown") {
+      await this.#readBack(write, term, limit);
+    } else {
+      logger.warn({ service }, "assignment write failed");
+      await clock.sleep(RETRY_MS, limit.signal);
+    }
+    term.settled(service, { gainsBlocked });
+  }
+
+  /**
+   * A write that is not found may still take effect; the condition on the
+   * row's revision then makes the next one fail, and its conflict shows it.
+   */
+  async #readBack(
+    write: PlannedWrite,
+    term: RegionTerm,
+    limit: { signal: AbortSignal; holds: () => boolean },
+  ): Promise<void> {
+    const { clock, logger } = this.#deps;
+    const { service, row } = write;
+    while (!limit.signal.aborted && limit.holds()) {
+      const read = await this.readRows(limit.signal);
+      if (read.isOk()) {
+        const found = read.value.find((held) => held.row.service === service);
+        logger.warn(
+          { service, applied: found?.row.writeId === row.writeId },
+          "answer to an assignment write was lost",
+        );
+        if (found !== undefined) this.#adopt(found, term);
+        return;
+      }
+      await clock.sleep(RETRY_MS, limit.signal);
+    }
+  }
+
+  #adopt(held: HeldRow, term: RegionTerm): void {
+    const { assignments, region, clock } = this.#deps;
+    assignments.adopt(held.revision, held.row);
+    if (held.row.region === region) term.adopt(held, clock.now());
+  }
+
+  #parse(row: TableRow): HeldRow[] {
+    if (row.value === null || !row.key.startsWith("assignments/")) return [];
+    const parsed = AssignmentRow.safeParse(row.value);
+    if (!parsed.success) {
+      this.#deps.logger.error({ key: row.key }, "assignment row is malformed");
+      return [];
+    }
+    return [{ revision: row.revision, row: parsed.data }];
+  }
+
+  async #withTimeout<T>(
+    ms: number,
+    signal: AbortSignal,
+    call: (limited: AbortSignal) => Promise<T>,
+  ): Promise<T> {
+    const done = new AbortController();
+    const expired = new AbortController();
+    void this.#deps.clock
+      .sleep(ms, AbortSignal.any([signal, done.signal]))
+      .then(() => expired.abort());
+    try {
+      return await call(AbortSignal.any([signal, expired.signal]));
+    } finally {
+      done.abort();
+    }
+  }
+}
--- /dev/null
+++ b/src/regions/coordinator.ts
@@ -0,0 +1,234 @@
+import { randomUUID } from "node:crypto";
+import { ChangeNotifier } from "../base/change_notifier.ts";
+import type { Clock } from "../base/clock.ts";
+import type { Logger } from "../base/logger.ts";
+import type { CatalogueView } from "../catalogue/catalogue_view.ts";
+import type { TableService } from "../contracts/table_service.ts";
+import type { RpcHandler } from "../links/rpc_handler.ts";
+import type { AssignmentView } from "../shards/assignment_view.ts";
+import type { ListedVmsView } from "../vms/listed_vms_view.ts";
+import type { StoreContactView } from "../vms/store_contact_view.ts";
+import { AssignmentWriter } from "./assignment_writer.ts";
+import type { CoordinatorLeaseView } from "./coordinator_lease_view.ts";
+import { RegionTerm } from "./region_term.ts";
+import { RenewParams } from "./renew_params.ts";
+import type { RenewResult } from "./renew_result.ts";
+import type { RouterSession } from "./router_session.ts";
+import { waitForAny } from "./wait_for_any.ts";
+
+type Deps = {
+  region: string;
+  clock: Clock;
+  logger: Logger;
+  lease: CoordinatorLeaseView;
+  contact: StoreContactView;
+  table: TableService;
+  catalogue: CatalogueView;
+  listedVms: ListedVmsView;
+  assignments: AssignmentView;
+  /** Longest time that a renewal waits for news. */
+  renewHoldMs: number;
+  dispatchTtlMs: number;
+};
+
+// Steps that depend on time alone, such as warm-up, are looked at this often.
+const MAX_PAUSE_MS = 100;
+// Many reports arrive together; one plan covers all of them.
+const MIN_PAUSE_MS = 5;
+const RETRY_MS = 100;
+
+/**
+ * Assigns the shards, dispatchers and limit shares of a region while this
+ * router holds the region's coordinator lease, and answers `dispatch.renew`.
+ */
+export class Coordinator {
+  /** Handler of `dispatch.renew`. */
+  readonly renewal: RpcHandler = {
+    method: "dispatch.renew",
+    params: RenewParams,
+    handle: (params, signal) => this.#renew(params as RenewParams, signal),
+  };
+
+  readonly #deps: Deps;
+  readonly #writer: AssignmentWriter;
+  /** Wakes renewals that wait for news. */
+  readonly #news = new ChangeNotifier();
+  /** Wakes the planning task. */
+  readonly #reports = new ChangeNotifier();
+  readonly #writes = new Set<Promise<void>>();
+  #term: RegionTerm | undefined;
+
+  /**
+   * @param deps - what the coordinator reads and calls; times in milliseconds
+   */
+  constructor(deps: Deps) {
+    this.#deps = deps;
+    this.#writer = new AssignmentWriter(deps);
+  }
+
+  /**
+   * Runs until the signal aborts.
+   *
+   * @param signal - ends the task
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { lease } = this.#deps;
+    while (!signal.aborted) {
+      const held = lease.held();
+      if (held === undefined) {
+        await waitForAny([lease.changed], this.#deps.clock, {
+          ms: MAX_PAUSE_MS,
+          signal,
+        });
+        continue;
+      }
+      const term = await this.#startTerm(held, signal);
+      if (term === undefined) continue;
+      this.#term = term;
+      this.#news.notify();
+      await this.#runTerm(term, signal);
+      this.#term = undefined;
+      this.#news.notify();
+    }
+    await Promise.all(this.#writes);
+  }
+
+  async #startTerm(
+    held: { epoch: number; since: number },
+    signal: AbortSignal,
+  ): Promise<RegionTerm | undefined> {
+    const { clock, catalogue, region, dispatchTtlMs, logger } = this.#deps;
+    while (!signal.aborted && this.#holds(held.epoch)) {
+      // Writes of former holders cannot take effect once the lease is taken,
+      // so rows read from now on are complete.
+      const read = await this.#writer.readRows(signal);
+      const document = catalogue.current?.document;
+      if (read.isOk() && document !== undefined && this.#holds(held.epoch)) {
+        logger.info({ epoch: held.epoch }, "coordinator term begins");
+        return new RegionTerm({
+          region,
+          lease: held,
+          dispatchTtlMs,
+          rows: read.value,
+          catalogue: document,
+        });
+      }
+      if (read.isErr()) {
+        logger.warn({ err: read.error }, "assignment rows cannot be read");
+      }
+      await clock.sleep(RETRY_MS, signal);
+    }
+    return undefined;
+  }
+
+  async #runTerm(term: RegionTerm, signal: AbortSignal): Promise<void> {
+    const { clock, catalogue, lease, listedVms, contact, logger } = this.#deps;
+    while (!signal.aborted && this.#holds(term.epoch)) {
+      for (const write of this.#plan(term)) {
+        const task: Promise<void> = this.#writer
+          .write(write, term, {
+            signal,
+            holds: () => this.#holds(term.epoch),
+          })
+          .finally(() => {
+            this.#writes.delete(task);
+            this.#news.notify();
+            this.#reports.notify();
+          });
+        this.#writes.add(task);
+      }
+      this.#news.notify();
+      await clock.sleep(MIN_PAUSE_MS, signal);
+      const pause = term.nextDeadline(clock.now()) - clock.now();
+      await waitForAny(
+        [
+          this.#reports,
+          lease.changed,
+          catalogue.changed,
+          listedVms.changed,
+          contact.changed,
+        ],
+        clock,
+        { ms: Math.min(MAX_PAUSE_MS, pause), signal },
+      );
+    }
+    logger.info({ epoch: term.epoch }, "coordinator term ends");
+  }
+
+  #plan(term: RegionTerm): ReturnType<RegionTerm["plan"]> {
+    const { clock, catalogue, listedVms, contact, assignments } = this.#deps;
+    const document = catalogue.current?.document;
+    const vms = listedVms.vms();
+    if (
+      contact.mode() !== "current" || document === undefined ||
+      vms.length === 0
+    ) return [];
+    return term.plan({
+      now: clock.now(),
+      catalogue: document,
+      vms,
+      foreign: assignments.all()
+        .filter(({ row }) => row.region !== this.#deps.region),
+      newWriteId: randomUUID,
+    });
+  }
+
+  async #renew(
+    report: RenewParams,
+    signal: AbortSignal,
+  ): Promise<RenewResult> {
+    const { clock, lease, renewHoldMs } = this.#deps;
+    const refusal: RenewResult = { kind: "not_coordinator" };
+    const until = clock.now() + renewHoldMs;
+    while (!signal.aborted && clock.now() < until && !this.#mayAnswer()) {
+      if (lease.held() === undefined) return refusal;
+      await this.#wait([this.#news, lease.changed], until, signal);
+    }
+    const term = this.#term;
+    if (signal.aborted || term === undefined || !this.#mayAnswer()) {
+      return refusal;
+    }
+    const session = term.accept(report, clock.now());
+    this.#reports.notify();
+    const { seq } = report;
+    const granted = await this.#answer(term, session, { seq, until, signal });
+    return granted ?? refusal;
+  }
+
+  async #answer(
+    term: RegionTerm,
+    session: RouterSession,
+    call: { seq: number; until: number; signal: AbortSignal },
+  ): Promise<RenewResult | undefined> {
+    const { clock, lease } = this.#deps;
+    // False as well once the router has sent a newer report.
+    const wanted = () =>
+      !call.signal.aborted && session.report.seq === call.seq &&
+      this.#term === term && this.#mayAnswer();
+    while (wanted() && clock.now() < call.until && term.isUpToDate(session)) {
+      await this.#wait([this.#news, lease.changed], call.until, call.signal);
+    }
+    // Checked in the same step as the answer is made: a former holder that
+    // wakes up late must not renew a lease.
+    return wanted() ? term.answer(session, clock.now()) : undefined;
+  }
+
+  async #wait(
+    notifiers: readonly ChangeNotifier[],
+    until: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock } = this.#deps;
+    const ms = Math.max(0, until - clock.now());
+    await waitForAny(notifiers, clock, { ms, signal });
+  }
+
+  #mayAnswer(): boolean {
+    return this.#term !== undefined && this.#holds(this.#term.epoch) &&
+      this.#deps.contact.mode() !== "cut_off";
+  }
+
+  #holds(epoch: number): boolean {
+    return this.#deps.lease.held()?.epoch === epoch;
+  }
+}
--- /dev/null
+++ b/src/regions/planned_write.ts
@@ -0,0 +1,10 @@
+import type { TableTransaction } from "../contracts/table_transaction.ts";
+import type { AssignmentRow } from "../shards/assignment_row.ts";
+
+/** A change of one assignment row, ready to be written. */
+export type PlannedWrite = {
+  service: string;
+  row: AssignmentRow;
+  /** Without the condition on the coordinator lease. */
+  transaction: TableTransaction;
+};
--- /dev/null
+++ b/src/regions/region_term.ts
@@ -0,0 +1,368 @@
+import type { CatalogueDocument } from "../catalogue/catalogue_document.ts";
+import type { ListedVm } from "../contracts/listed_vm.ts";
+import type { AssignmentRow } from "../shards/assignment_row.ts";
+import { StragglerTracker } from "../shards/straggler_tracker.ts";
+import { WarmUpTracker } from "../shards/warm_up_tracker.ts";
+import { planDispatchers } from "./plan_dispatchers.ts";
+import { planService } from "./plan_service.ts";
+import type { PlannedWrite } from "./planned_write.ts";
+import { regionFacts } from "./region_facts.ts";
+import type { RegionService } from "./region_service.ts";
+import { regionServices } from "./region_services.ts";
+import type { RenewGrant } from "./renew_grant.ts";
+import type { RenewParams } from "./renew_params.ts";
+import type { RouterSession } from "./router_session.ts";
+import { RouterSessions } from "./router_sessions.ts";
+import { ServiceState } from "./service_state.ts";
+import type { UpstreamFacts } from "./upstream_facts.ts";
+
+type HeldRow = { revision: number; row: AssignmentRow };
+type Term = { epoch: number; since: number };
+type PlanInput = {
+  now: number;
+  catalogue: CatalogueDocument;
+  vms: readonly ListedVm[];
+  /** Known rows of other regions. */
+  foreign: readonly HeldRow[];
+  newWriteId: () => string;
+};
+
+// Time for the routers to report before the first tenures are given out, so
+// that the first router to report does not get all of them.
+const SETTLE_MS = 600;
+
+/**
+ * Everything that one coordinator knows and decides between taking the lease
+ * and losing it. Synchronous: an answer and the record of the lease that it
+ * gives are one step.
+ */
+export class RegionTerm {
+  readonly epoch: number;
+  readonly #region: string;
+  readonly #since: number;
+  readonly #ttlMs: number;
+  readonly #sessions = new RouterSessions();
+  readonly #services = new Map<string, ServiceState>();
+  readonly #warmUp = new Map<string, WarmUpTracker>();
+  readonly #stragglers = new Map<string, StragglerTracker>();
+
+  /**
+   * @param opts - the region; the lease; TTL of dispatch leases; the region's
+   * rows, read after the lease was taken; the catalogue in force, if any
+   */
+  constructor(opts: {
+    region: string;
+    lease: Term;
+    dispatchTtlMs: number;
+    rows: readonly HeldRow[];
+    catalogue: CatalogueDocument | undefined;
+  }) {
+    this.#region = opts.region;
+    this.epoch = opts.lease.epoch;
+    this.#since = opts.lease.since;
+    this.#ttlMs = opts.dispatchTtlMs;
+    const known = opts.catalogue === undefined
+      ? new Map<string, RegionService>()
+      : regionServices(opts.catalogue, opts.region);
+    for (const { revision, row } of opts.rows) {
+      const state = this.#state(row.service);
+      state.configure(known.get(row.service) ?? abandoned(row.service));
+      state.inherit(revision, row, { since: this.#since, ttlMs: this.#ttlMs });
+    }
+  }
+
+  /**
+   * Takes in a report.
+   *
+   * @param report - the report
+   * @param now - the coordinator's clock
+   * @returns the session of the reporting process
+   */
+  accept(report: RenewParams, now: number): RouterSession {
+    const { session, fresh } = this.#sessions.accept(report, now, this.#ttlMs);
+    if (!fresh) return session;
+    for (const state of this.#services.values()) {
+      state.accept(report, { epoch: this.epoch, now });
+    }
+    return session;
+  }
+
+  /**
+   * @param session - a router process
+   * @returns whether the router knows everything that an answer would say now
+   */
+  isUpToDate(session: RouterSession): boolean {
+    const { report, answered } = session;
+    return answered?.seq === report.answeredSeq &&
+      report.coordinatorEpoch === this.epoch &&
+      this.#newerRows(report).length === 0 &&
+      answered.content === JSON.stringify(this.#duties(session));
+  }
+
+  /**
+   * Renews the dispatch lease of a router.
+   *
+   * @param session - the router process
+   * @param now - the coordinator's clock
+   * @returns the answer to its newest report; must be sent
+   */
+  answer(session: RouterSession, now: number): RenewGrant {
+    const duties = this.#duties(session);
+    const leaseUntil = now + this.#ttlMs;
+    session.leaseUntil = leaseUntil;
+    for (const { service, upstream } of duties.tenures) {
+      const holding = this.#services.get(service)?.holdings.get(upstream);
+      if (holding !== undefined) holding.leaseUntil = leaseUntil;
+    }
+    session.answered = {
+      seq: session.report.seq,
+      content: JSON.stringify(duties),
+    };
+    return {
+      kind: "granted",
+      coordinatorEpoch: this.epoch,
+      ttlMs: this.#ttlMs,
+      ...duties,
+      shares: [],
+      rows: this.#newerRows(session.report),
+    };
+  }
+
+  /**
+   * Plans the next step of every service. Must not be called without contact
+   * with the store: releases that begin here end only with a write.
+   *
+   * @param input - what the plan depends on
+   * @returns the writes to make; their services are busy until `settled`
+   */
+  plan(input: PlanInput): PlannedWrite[] {
+    const { now, catalogue, vms } = input;
+    const scopes = regionServices(catalogue, this.#region);
+    for (const service of scopes.keys()) this.#state(service);
+    const routers = this.#sessions.alive(now);
+    const allReported = now >= this.#since + this.#ttlMs;
+    const services = [...this.#services.values()].map((state) => {
+      const scope = scopes.get(state.service) ?? abandoned(state.service);
+      if (scopes.has(state.service)) state.configure(scope);
+      const facts = regionFacts(state, {
+        region: this.#region,
+        out: catalogue.out,
+        vms,
+        routers,
+        now,
+        allReported,
+      }).map((item) =>
+        scopes.has(state.service) ? item : { ...item, out: true }
+      );
+      return { state, scope, facts };
+    });
+    if (now < this.#since + SETTLE_MS) return [];
+    const dispatchers = planDispatchers({
+      services,
+      routers,
+      out: catalogue.out,
+      vms,
+      now,
+    });
+
+    const writes: PlannedWrite[] = [];
+    for (const { state, scope, facts } of services) {
+      if (state.busy || (state.held === undefined && facts.length === 0)) {
+        continue;
+      }
+      const write = planService(state, {
+        now,
+        region: this.#region,
+        epoch: this.epoch,
+        writeId: input.newWriteId(),
+        scope,
+        upstreams: facts,
+        weights: this.#weights(state.service, facts, now),
+        caps: this.#caps(state, { scope, facts }, now),
+        hotKeys: this.#hotKeys(state.service, routers),
+        dispatchers: dispatchers.get(state.service) ?? new Map(),
+        foreign: foreignRows(scope, this.#region, input.foreign),
+      });
+      if (write === undefined) continue;
+      state.busy = true;
+      writes.push(write);
+    }
+    return writes;
+  }
+
+  /**
+   * Takes a row that was committed in this term, or read back.
+   *
+   * @param held - the row and its revision
+   * @param now - the coordinator's clock
+   * @returns whether it is newer than the known row
+   */
+  adopt(held: HeldRow, now: number): boolean {
+    return this.#state(held.row.service).adopt(held.revision, held.row, {
+      now,
+      ttlMs: this.#ttlMs,
+    });
+  }
+
+  /**
+   * Allows the next write of a service.
+   *
+   * @param service - its name
+   * @param outcome - `gainsBlocked`: the write lost against a row of another
+   * region, so the next one is made without shards from there
+   */
+  settled(service: string, outcome: { gainsBlocked: boolean }): void {
+    const state = this.#state(service);
+    state.busy = false;
+    state.gainsBlocked = outcome.gainsBlocked;
+  }
+
+  /**
+   * @param now - the coordinator's clock
+   * @returns the next time at which a lease or a wait ends; Infinity for none
+   */
+  nextDeadline(now: number): number {
+    const times = [this.#since + SETTLE_MS, this.#since + this.#ttlMs];
+    for (const state of this.#services.values()) {
+      for (const holding of state.holdings.values()) {
+        times.push(holding.leaseUntil);
+      }
+      for (const [unit, move] of state.moves) {
+        times.push(state.freeAt(unit, move.source));
+      }
+    }
+    return Math.min(Infinity, ...times.filter((time) => time > now));
+  }
+
+  #state(service: string): ServiceState {
+    const known = this.#services.get(service);
+    if (known !== undefined) return known;
+    const state = new ServiceState(service);
+    this.#services.set(service, state);
+    return state;
+  }
+
+  #duties(
+    session: RouterSession,
+  ): Pick<RenewGrant, "tenures" | "endTenures" | "releases"> {
+    const duties: Pick<RenewGrant, "tenures" | "endTenures" | "releases"> = {
+      tenures: [],
+      endTenures: [],
+      releases: [],
+    };
+    for (
+      const { service, holdings, moves, content } of this.#services.values()
+    ) {
+      for (const [upstream, holding] of holdings) {
+        if (!holding.belongsTo(session.vm, session.incarnation)) continue;
+        const place = content.upstreams.find((item) => item.id === upstream);
+        if (place === undefined) continue;
+        const { address } = place;
+        duties.tenures.push({
+          service,
+          upstream,
+          address,
+          epoch: holding.epoch,
+        });
+        if (holding.ending) duties.endTenures.push({ service, upstream });
+        const units = [...moves]
+          .filter(([, move]) => move.source === upstream)
+          .map(([unit]) => unit);
+        if (units.length > 0) {
+          duties.releases.push({ service, upstream, units });
+        }
+      }
+    }
+    return duties;
+  }
+
+  #newerRows(report: RenewParams): RenewGrant["rows"] {
+    return [...this.#services.values()].flatMap(({ service, held }) =>
+      held !== undefined && held.revision > (report.rows[service] ?? 0)
+        ? [held]
+        : []
+    );
+  }
+
+  #weights(
+    service: string,
+    facts: readonly UpstreamFacts[],
+    now: number,
+  ): Map<string, number> {
+    const tracker = this.#stragglers.get(service) ?? new StragglerTracker();
+    this.#stragglers.set(service, tracker);
+    return tracker.weights(facts, now);
+  }
+
+  #caps(
+    state: ServiceState,
+    input: { scope: RegionService; facts: readonly UpstreamFacts[] },
+    now: number,
+  ): Map<string, number> {
+    const tracker = this.#warmUp.get(state.service) ?? new WarmUpTracker();
+    this.#warmUp.set(state.service, tracker);
+    const counts = new Map<string, number>();
+    for (const position of state.content.shards) {
+      const id = state.content.upstreams[position]?.id;
+      if (id !== undefined) counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    const { facts, scope } = input;
+    return tracker.caps({
+      upstreams: facts.map(({ id, state: reported, out }) => ({
+        id,
+        state: reported,
+        out,
+        count: counts.get(id) ?? 0,
+      })),
+      own: scope.own.length,
+      ratePerS: facts.reduce((sum, item) => sum + item.ratePerS, 0),
+      coldStart: scope.coldStart,
+    }, now);
+  }
+
+  #hotKeys(
+    service: string,
+    routers: readonly RouterSession[],
+  ): RenewParams["hotKeys"] {
+    return routers.flatMap((router) =>
+      router.report.hotKeys.filter((key) => key.service === service)
+    );
+  }
+}
+
+/** A service that the region serves no longer: its row must become empty. */
+function abandoned(name: string): RegionService {
+  return {
+    name,
+    shards: 0,
+    own: [],
+    homeRegions: [],
+    checksGrants: false,
+    // The catalogue no longer says how long requests may run.
+    maxRunMs: 10_000,
+    coldStart: { concurrency: 1, ratePerS: 10, rampMs: 1000 },
+  };
+}
+
+function foreignRows(
+  scope: RegionService,
+  region: string,
+  known: readonly HeldRow[],
+): { key: string; revision: number; row: AssignmentRow | undefined }[] {
+  const regions = new Set([
+    ...scope.homeRegions,
+    ...known.filter(({ row }) => row.service === scope.name)
+      .map(({ row }) => row.region),
+  ]);
+  regions.delete(region);
+  return [...regions].map((other) => {
+    const held = known.find(({ row }) =>
+      row.region === other && row.service === scope.name
+    );
+    return {
+      key: `assignments/${other}/${scope.name}`,
+      revision: held?.revision ?? 0,
+      row: held?.row,
+    };
+  });
+}
--- /dev/null
+++ b/src/regions/renewal_task.ts
@@ -0,0 +1,271 @@
+import { ChangeNotifier } from "../base/change_notifier.ts";
+import type { Clock } from "../base/clock.ts";
+import type { Logger } from "../base/logger.ts";
+import type { LimitHost } from "../limits/limit_host.ts";
+import type { AssignmentView } from "../shards/assignment_view.ts";
+import type { DispatchHost } from "../upstreams/dispatch_host.ts";
+import type { PeerClient } from "../vms/peer_client.ts";
+import type { StoreContactView } from "../vms/store_contact_view.ts";
+import type { CoordinatorRow } from "./coordinator_row.ts";
+import type { CoordinatorView } from "./coordinator_view.ts";
+import type { RenewGrant } from "./renew_grant.ts";
+import type { RenewParams } from "./renew_params.ts";
+import { RenewResult } from "./renew_result.ts";
+import { waitForAny } from "./wait_for_any.ts";
+
+type Deps = {
+  vm: string;
+  incarnation: string;
+  region: string;
+  failureDomain: string;
+  clock: Clock;
+  logger: Logger;
+  contact: StoreContactView;
+  coordinators: CoordinatorView;
+  peers: PeerClient;
+  dispatchers: DispatchHost;
+  limits: LimitHost;
+  assignments: AssignmentView;
+  /** Longest time that the coordinator holds a renewal. */
+  renewHoldMs: number;
+};
+type Attempt = { report: RenewParams; sentAt: number; version: number };
+
+// On top of the hold: a coordinator that is slower than this is asked again,
+// so that two attempts fit into a lease of 2 s.
+const ANSWER_MARGIN_MS = 400;
+const MIN_BACKOFF_MS = 50;
+const MAX_BACKOFF_MS = 400;
+const IDLE_MS = 100;
+// Changes of the report that follow each other closely are sent together.
+const GATHER_MS = 5;
+// Time for an answer that the coordinator already has to arrive before a
+// changed report replaces the call.
+const MIN_CALL_MS = 25;
+
+/** Keeps the dispatch lease and the limit shares of this router in force. */
+export class RenewalTask {
+  readonly #deps: Deps;
+  readonly #changed = new ChangeNotifier();
+  #version = 0;
+  #seq = 0;
+  #answeredSeq = 0;
+  #epoch = 0;
+  #answeredAt = -Infinity;
+  #lease: { shares: RenewGrant["shares"]; endsAt: number } = {
+    shares: [],
+    endsAt: -Infinity,
+  };
+
+  /**
+   * @param deps - identity of the router, and what the task reads and calls
+   */
+  constructor(deps: Deps) {
+    this.#deps = deps;
+  }
+
+  /**
+   * Renews until the router has left or the signal aborts.
+   *
+   * @param stop - `leaving` asks for the hand-over of all tenures, `signal`
+   * ends the task at once
+   * @returns a promise that resolves when no tenure is left after `leaving`, or
+   * after `signal`
+   */
+  async run(
+    stop: { leaving: AbortSignal; signal: AbortSignal },
+  ): Promise<void> {
+    const ended = new AbortController();
+    const signal = AbortSignal.any([stop.signal, ended.signal]);
+    const watching = this.#watchReport(signal);
+    const leave = () => this.#noteChange();
+    stop.leaving.addEventListener("abort", leave, { once: true });
+    try {
+      await this.#renewUntilLeft(stop.leaving, signal);
+    } finally {
+      stop.leaving.removeEventListener("abort", leave);
+      ended.abort();
+      await watching;
+    }
+  }
+
+  async #renewUntilLeft(
+    leaving: AbortSignal,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { contact, coordinators, clock, region } = this.#deps;
+    let backoffMs = MIN_BACKOFF_MS;
+    while (!signal.aborted) {
+      const coordinator = coordinators.get(region);
+      if (contact.mode() === "cut_off" || coordinator === undefined) {
+        await waitForAny([contact.changed, coordinators.changed], clock, {
+          ms: IDLE_MS,
+          signal,
+        });
+        continue;
+      }
+      const outcome = await this.#renew(coordinator, leaving.aborted, signal);
+      if (outcome === "left") return;
+      if (outcome !== "failed") {
+        backoffMs = MIN_BACKOFF_MS;
+        continue;
+      }
+      await waitForAny([coordinators.changed], clock, {
+        ms: backoffMs,
+        signal,
+      });
+      backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+    }
+  }
+
+  async #renew(
+    coordinator: CoordinatorRow,
+    leaving: boolean,
+    signal: AbortSignal,
+  ): Promise<"granted" | "replaced" | "failed" | "left"> {
+    const { clock, peers, logger, renewHoldMs } = this.#deps;
+    this.#seq += 1;
+    const attempt: Attempt = {
+      version: this.#version,
+      report: this.#report(coordinator, leaving),
+      sentAt: clock.now(),
+    };
+    const over = new AbortController();
+    const limited = AbortSignal.any([signal, over.signal]);
+    const replacing = this.#abortWhenOutdated(attempt, coordinator, over);
+    const result = await peers.call({
+      peerUrl: coordinator.peerUrl,
+      method: "dispatch.renew",
+      params: attempt.report,
+      result: RenewResult,
+      timeoutMs: renewHoldMs + ANSWER_MARGIN_MS,
+    }, limited);
+    const replaced = over.signal.aborted;
+    over.abort();
+    await replacing;
+    if (result.isErr()) {
+      if (replaced) return "replaced";
+      logger.warn({ kind: result.error.kind }, "dispatch lease not renewed");
+      return "failed";
+    }
+    if (result.value.kind === "not_coordinator") return "failed";
+    if (!this.#apply(result.value, attempt)) return "failed";
+    const handedOver = result.value.tenures.length === 0 &&
+      attempt.report.tenures.length === 0;
+    return leaving && handedOver ? "left" : "granted";
+  }
+
+  #report(coordinator: CoordinatorRow, leaving: boolean): RenewParams {
+    const { vm, incarnation, region, failureDomain, clock } = this.#deps;
+    const { dispatchers, limits, assignments } = this.#deps;
+    const held = assignments.all().filter(({ row }) => row.region === region);
+    const reported = limits.collect();
+    // A new coordinator gives no more than what is reported as held, also for
+    // entries that had no requests lately.
+    const unreported = coordinator.epoch === this.#epoch ||
+        clock.now() >= this.#lease.endsAt
+      ? []
+      : this.#lease.shares.filter((share) =>
+        !reported.some((item) => item.entry === share.entry)
+      );
+    return {
+      vm,
+      incarnation,
+      failureDomain,
+      seq: this.#seq,
+      answeredSeq: this.#answeredSeq,
+      coordinatorEpoch: this.#epoch,
+      rows: Object.fromEntries(
+        held.map(({ revision, row }) => [row.service, revision]),
+      ),
+      leaving,
+      ...dispatchers.collect(),
+      limits: [
+        ...reported,
+        ...unreported.map(({ entry, ratePerS, concurrency }) => ({
+          entry,
+          demandPerS: 0,
+          demandConcurrency: 0,
+          heldRatePerS: ratePerS,
+          heldConcurrency: concurrency,
+        })),
+      ],
+    };
+  }
+
+  #apply(grant: RenewGrant, attempt: Attempt): boolean {
+    const { clock, contact, logger, assignments } = this.#deps;
+    const leaseEndsAt = attempt.sentAt + grant.ttlMs;
+    const now = clock.now();
+    if (contact.mode() === "cut_off" || now >= leaseEndsAt) return false;
+    if (grant.coordinatorEpoch < this.#epoch) {
+      logger.warn(
+        { epoch: grant.coordinatorEpoch, known: this.#epoch },
+        "answer of a former coordinator ignored",
+      );
+      return false;
+    }
+    this.#epoch = grant.coordinatorEpoch;
+    this.#answeredSeq = attempt.report.seq;
+    this.#answeredAt = now;
+    this.#lease = { shares: grant.shares, endsAt: leaseEndsAt };
+    // Rows first: the dispatchers decide by them, and a release that is no
+    // longer listed is over only together with the row that ended it.
+    for (const { revision, row } of grant.rows) {
+      assignments.adopt(revision, row);
+    }
+    this.#deps.dispatchers.apply(grant, leaseEndsAt);
+    this.#deps.limits.apply(grant.shares, leaseEndsAt);
+    return true;
+  }
+
+  /** Ends a call whose report or addressee has changed. */
+  async #abortWhenOutdated(
+    attempt: Attempt,
+    coordinator: CoordinatorRow,
+    over: AbortController,
+  ): Promise<void> {
+    const { clock, coordinators, region, renewHoldMs } = this.#deps;
+    while (!over.signal.aborted) {
+      const moved = coordinators.get(region)?.epoch !== coordinator.epoch;
+      const outdated = this.#version !== attempt.version;
+      const sinceAnswer = clock.now() - this.#answeredAt;
+      const age = clock.now() - attempt.sentAt;
+      // Reports that change all the time must not keep every answer away.
+      const allowed = age >= MIN_CALL_MS && sinceAnswer < renewHoldMs;
+      if (moved || (outdated && allowed)) {
+        over.abort();
+        return;
+      }
+      if (outdated && sinceAnswer < renewHoldMs) {
+        await clock.sleep(MIN_CALL_MS - age, over.signal);
+      } else {
+        await waitForAny([this.#changed, coordinators.changed], clock, {
+          ms: IDLE_MS,
+          signal: over.signal,
+        });
+      }
+    }
+  }
+
+  async #watchReport(signal: AbortSignal): Promise<void> {
+    const { dispatchers, clock } = this.#deps;
+    const ended = new Promise<void>((resolve) => {
+      if (signal.aborted) resolve();
+      signal.addEventListener("abort", () => resolve(), { once: true });
+    });
+    let next = dispatchers.reportChanged();
+    for (;;) {
+      await Promise.race([next, ended]);
+      if (signal.aborted) return;
+      next = dispatchers.reportChanged();
+      this.#noteChange();
+      await clock.sleep(GATHER_MS, signal);
+    }
+  }
+
+  #noteChange(): void {
+    this.#version += 1;
+    this.#changed.notify();
+  }
+}
--- /dev/null
+++ b/src/regions/tenure_holding.ts
@@ -0,0 +1,68 @@
+/**
+ * What the coordinator knows of one tenure in an assignment row: which router
+ * process may act on it, and until when at the latest.
+ */
+export class TenureHolding {
+  readonly vm: string;
+  readonly epoch: number;
+  /** Process that holds the tenure; undefined until it has said so. */
+  incarnation: string | undefined;
+  /** Latest end of the dispatch lease, on the coordinator's clock. */
+  leaseUntil: number;
+  /** The router drains the tenure on the coordinator's request. */
+  ending = false;
+  /** The router has ended the tenure, with no request in flight. */
+  ended = false;
+  /**
+   * A write has been attempted that relies on the end of the lease. The write
+   * may take effect late, so the tenure is never renewed again.
+   */
+  retired = false;
+  /** Time from which each released unit may have another owner. */
+  readonly released = new Map<string, number>();
+
+  /**
+   * @param tenure - `vm` and `epoch` as in the row; `incarnation` if this
+   * coordinator chose the process itself; `leaseUntil` the end of any lease
+   * that the process may have
+   */
+  constructor(tenure: {
+    vm: string;
+    epoch: number;
+    incarnation: string | undefined;
+    leaseUntil: number;
+  }) {
+    this.vm = tenure.vm;
+    this.epoch = tenure.epoch;
+    this.incarnation = tenure.incarnation;
+    this.leaseUntil = tenure.leaseUntil;
+  }
+
+  /**
+   * @param vm - VM of a router
+   * @param incarnation - its process
+   * @returns whether that process holds the tenure and may go on
+   */
+  belongsTo(vm: string, incarnation: string): boolean {
+    return this.vm === vm && this.incarnation === incarnation &&
+      !this.ended && !this.retired;
+  }
+
+  /**
+   * @param now - the coordinator's clock
+   * @returns whether the tenure may be given to another dispatcher
+   */
+  isOver(now: number): boolean {
+    return this.ended || this.retired || now >= this.leaseUntil;
+  }
+
+  /**
+   * @param service - whether the upstream checks grants, and the longest run of
+   * a request that a lost dispatcher may have left behind
+   * @returns time from which no request and no grant of this tenure is left
+   */
+  quietAt(service: { checksGrants: boolean; maxRunMs: number }): number {
+    if (service.checksGrants) return this.leaseUntil;
+    return this.ended ? 0 : this.leaseUntil + service.maxRunMs;
+  }
+}
