--- a/src/entry/caller_body_stream.ts
+++ b/src/entry/caller_body_stream.ts
@@ -1,6 +1,7 @@
 import { Readable } from "node:stream";
 import type { Clock } from "../base/clock.ts";
 import { BodyFailure } from "./body_failure.ts";
+import type { ExpiryWatch } from "./expiry_watch.ts";
 
 /**
  * A caller's body that is too long to be kept. Nothing is read from the caller
@@ -8,17 +9,10 @@
  * body is too long or the caller too slow.
  */
 export class CallerBodyStream extends Readable {
-  readonly #source: Readable;
-  readonly #prefix: Buffer[];
-  readonly #limit: number;
-  readonly #pauseMs: number;
-  readonly #clock: Clock;
-  readonly #onStart: () => void;
-  readonly #end = new AbortController();
+  readonly #opts: ConstructorParameters<typeof CallerBodyStream>[0];
+  readonly #expiry: { at: number; onExpiry: () => void };
   #bytes = 0;
   #started = false;
-  /** Since when this stream waits for the caller. */
-  #waitingSince: number | undefined;
 
   /**
    * @param opts - the caller's body, the part of it that was read already, the
@@ -31,15 +25,19 @@
     limit: number;
     pauseMs: number;
     clock: Clock;
+    watch: ExpiryWatch;
     onStart: () => void;
   }) {
     super();
-    this.#source = opts.source;
-    this.#prefix = opts.prefix;
-    this.#limit = opts.limit;
-    this.#pauseMs = opts.pauseMs;
-    this.#clock = opts.clock;
-    this.#onStart = opts.onStart;
+    this.#opts = opts;
+    this.#expiry = {
+      at: Number.POSITIVE_INFINITY,
+      onExpiry: () => {
+        this.destroy(
+          new BodyFailure("slow_sender", "the body arrives too slowly"),
+        );
+      },
+    };
     // The reader may be gone when the caller goes.
     this.on("error", () => undefined);
   }
@@ -50,8 +48,8 @@
       this.#started = true;
       this.#start();
     }
-    this.#waitingSince ??= this.#clock.now();
-    this.#source.resume();
+    this.#expectData();
+    this.#opts.source.resume();
   }
 
   /** {@inheritDoc} */
@@ -59,56 +57,51 @@
     err: Error | null,
     callback: (err?: Error | null) => void,
   ): void {
-    this.#end.abort();
-    this.#source.off("data", this.#onData);
+    const { source, watch } = this.#opts;
+    watch.remove(this.#expiry);
+    source.off("data", this.#onData);
     // Without an error the caller has been answered, and Node reads and drops
     // the rest of the body.
-    if (err !== null) this.#source.pause();
+    if (err !== null) source.pause();
     callback(err);
   }
 
   #start(): void {
-    this.#onStart();
-    for (const part of this.#prefix) {
+    const { source, prefix, watch, onStart } = this.#opts;
+    onStart();
+    watch.add(this.#expiry);
+    for (const part of prefix) {
       this.#bytes += part.length;
       this.push(part);
     }
-    this.#source.on("data", this.#onData);
-    this.#source.once("end", () => this.push(null));
-    this.#source.once("error", (err) => this.destroy(err));
-    this.#source.once("close", () => {
-      if (!this.#source.readableEnded) {
+    source.on("data", this.#onData);
+    source.once("end", () => this.push(null));
+    source.once("error", (err) => this.destroy(err));
+    source.once("close", () => {
+      if (!source.readableEnded) {
         this.destroy(new Error("the caller went away"));
       }
     });
-    void this.#watch();
+  }
+
+  /** The pause counts only while this stream waits for the caller. */
+  #expectData(): void {
+    this.#expiry.at = this.#opts.clock.now() + this.#opts.pauseMs;
   }
 
   readonly #onData = (part: Buffer): void => {
-    this.#waitingSince = undefined;
     this.#bytes += part.length;
-    if (this.#bytes > this.#limit) {
+    if (this.#bytes > this.#opts.limit) {
       this.destroy(
         new BodyFailure(
           "body_too_large",
-          `the body is longer than ${this.#limit} bytes`,
+          `the body is longer than ${this.#opts.limit} bytes`,
         ),
       );
-    } else if (this.push(part)) this.#waitingSince = this.#clock.now();
-    else this.#source.pause();
-  };
-
-  async #watch(): Promise<void> {
-    while (!this.#end.signal.aborted && !this.#source.readableEnded) {
-      const since = this.#waitingSince ?? this.#clock.now();
-      const left = since + this.#pauseMs - this.#clock.now();
-      if (left <= 0) {
-        this.destroy(
-          new BodyFailure("slow_sender", "the body arrives too slowly"),
-        );
-        return;
-      }
-      await this.#clock.sleep(left, this.#end.signal);
+    } else if (this.push(part)) this.#expectData();
+    else {
+      this.#expiry.at = Number.POSITIVE_INFINITY;
+      this.#opts.source.pause();
     }
-  }
+  };
 }
--- a/src/entry/caller_listener.ts
+++ b/src/entry/caller_listener.ts
@@ -4,6 +4,7 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../base/clock.ts";
 import { DrainingServer } from "../links/draining_server.ts";
+import { answerHeaders } from "../links/answer_headers.ts";
 import { endToEndHeaders } from "../links/end_to_end_headers.ts";
 import { hasBody } from "../links/has_body.ts";
 import { HOP_HEADER } from "../links/hop_header.ts";
@@ -122,20 +123,14 @@
       },
     };
     try {
-      const outcome = await this.#opts.router.handle(request, gone.signal);
+      const outcome = await this.#opts.router.handle(request, gone);
       if (outcome.kind === "refused") {
         const { refusal } = outcome;
         writeRefusal({ req, res, refusal, requestId, bodyWithheld });
         return;
       }
-      const headers = {
-        ...endToEndHeaders(
-          Object.entries(outcome.headers).flatMap(([name, value]) =>
-            [value].flat().flatMap((one) => [name, one])
-          ),
-        ),
-        [HOP_HEADER.requestId]: requestId,
-      };
+      const headers = answerHeaders(outcome.headers);
+      headers[HOP_HEADER.requestId] = requestId;
       await writeAnswer(res, { ...outcome, headers });
     } catch (err) {
       // A broken invariant ends one request, not the router.
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -1,4 +1,5 @@
 import type { Result } from "neverthrow";
+import type { Readable } from "node:stream";
 import type { Clock } from "../base/clock.ts";
 import { keyDigest } from "../base/key_digest.ts";
 import type { Refusal } from "../base/refusal.ts";
@@ -8,6 +9,7 @@
 import { CallerBodyStream } from "./caller_body_stream.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { checkRequest } from "./check_request.ts";
+import type { ExpiryWatch } from "./expiry_watch.ts";
 import { takeBody } from "./take_body.ts";
 
 // The dispatcher's own refusal at the deadline says whether the request ran; it
@@ -26,11 +28,12 @@
   readonly #opts: ConstructorParameters<typeof Router>[0];
 
   /**
-   * @param opts - clock, the router's mode and region, the catalogue in force,
+   * @param opts - clock, timers, the router's mode and region, the catalogue in force,
    * the limit shares, the sender of requests, and how bodies are read
    */
   constructor(opts: {
     clock: Clock;
+    watch: ExpiryWatch;
     contact: Pick<StoreContactView, "mode">;
     catalogue: Omit<Parameters<typeof checkRequest>[1], "mode">;
     shares: Shares;
@@ -46,57 +49,52 @@
    * destroyed, which ends the request's share of the limits.
    *
    * @param req - the request
-   * @param gone - the caller went away
+   * @param end - cancels the request; aborted by the listener when the caller
+   * goes away, and by this method when the deadline has passed
    * @returns the upstream's answer, or why there is none
    */
   async handle(
     req: CallerRequest,
-    gone: AbortSignal,
+    end: AbortController,
   ): Promise<DispatchOutcome> {
-    const { clock, contact, catalogue, shares, budget } = this.#opts;
+    const { clock, contact, catalogue, shares, budget, watch } = this.#opts;
     const mode = contact.mode();
     const checked = checkRequest(req, { ...catalogue, mode });
     if (checked.isErr()) return { kind: "refused", refusal: checked.error };
     const { name, entry, service, key } = checked.value;
     const deadlineAt = clock.now() + entry.limits.maxRequestMs;
 
-    const stop = new AbortController();
-    const timerEnd = new AbortController();
-    const cancel = () => stop.abort();
-    gone.addEventListener("abort", cancel, { once: true });
-    if (gone.aborted) cancel();
+    const streaming: { answer?: Readable } = {};
+    const expiry = {
+      at: deadlineAt + DEADLINE_GRACE_MS,
+      onExpiry: () => {
+        end.abort();
+        // An answer that outlasts the deadline is cut.
+        streaming.answer?.destroy(new Error("the deadline has passed"));
+      },
+    };
     const share = await shares.admit(name, {
       until: deadlineAt,
-      signal: stop.signal,
+      signal: end.signal,
     });
-    const release = () => {
-      timerEnd.abort();
-      gone.removeEventListener("abort", cancel);
-      if (share.isOk()) share.value.release();
-    };
-    if (share.isErr()) {
-      release();
-      return { kind: "refused", refusal: share.error };
-    }
+    if (share.isErr()) return { kind: "refused", refusal: share.error };
     budget.onRequest(entry.service);
-    const timerMs = deadlineAt + DEADLINE_GRACE_MS - clock.now();
-    void clock.sleep(timerMs, timerEnd.signal).then(() => {
-      if (!timerEnd.signal.aborted) stop.abort();
-    });
-
     const body = await takeBody(req, {
       maxBytes: entry.limits.maxBodyBytes,
       replayBytes: this.#opts.requests.replayBytes,
       pauseMs: this.#opts.requests.bodyPauseMs,
+      deadlineAt,
       clock,
-      signal: stop.signal,
+      watch,
     });
     if (body.isErr()) {
-      release();
+      share.value.release();
       return { kind: "refused", refusal: body.error };
     }
-    const end = () => {
-      release();
+    watch.add(expiry);
+    const finish = () => {
+      watch.remove(expiry);
+      share.value.release();
       if (body.value instanceof CallerBodyStream) body.value.destroy();
     };
     const outcome = await this.#opts.attempts.run({
@@ -116,20 +114,18 @@
       },
       homeRegions: entry.homeRegions,
       shards: service.shards,
-    }, stop.signal);
+    }, end.signal);
     if (outcome.kind === "refused") {
-      end();
+      finish();
       return outcome;
     }
     const answer = outcome.body;
-    // An answer that outlasts the deadline is cut.
-    const cut = () => answer.destroy(new Error("the request has ended"));
-    stop.signal.addEventListener("abort", cut, { once: true });
-    if (stop.signal.aborted) cut();
+    streaming.answer = answer;
     // The reader of the body notices a cut by its end.
     answer.on("error", () => undefined);
-    if (answer.closed) end();
-    else answer.once("close", end);
+    if (end.signal.aborted) answer.destroy();
+    if (answer.closed) finish();
+    else answer.once("close", finish);
     return outcome;
   }
 }
--- a/src/entry/take_body.ts
+++ b/src/entry/take_body.ts
@@ -4,6 +4,7 @@
 import type { Refusal } from "../base/refusal.ts";
 import { CallerBodyStream } from "./caller_body_stream.ts";
 import type { CallerRequest } from "./caller_request.ts";
+import type { ExpiryWatch } from "./expiry_watch.ts";
 
 type Collected =
   | { kind: "whole"; body: Buffer }
@@ -17,28 +18,40 @@
 /** Reads up to `max` bytes; a longer body is left paused. */
 function collect(
   source: Readable,
-  opts: { max: number; pauseMs: number; clock: Clock; signal: AbortSignal },
+  opts: {
+    max: number;
+    pauseMs: number;
+    deadlineAt: number;
+    clock: Clock;
+    watch: ExpiryWatch;
+  },
 ): Promise<Collected> {
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
     let bytes = 0;
-    let readAt = opts.clock.now();
-    const ended = new AbortController();
+    const nextPause = () =>
+      Math.min(opts.deadlineAt, opts.clock.now() + opts.pauseMs);
     const finish = (collected: Collected) => {
-      if (ended.signal.aborted) return;
-      ended.abort();
-      source.pause();
+      opts.watch.remove(expiry);
       source.off("data", onData);
       source.off("end", onEnd);
       source.off("close", onClose);
-      opts.signal.removeEventListener("abort", onAbort);
       resolve(collected);
     };
+    const expiry = {
+      at: nextPause(),
+      onExpiry: () => {
+        source.pause();
+        finish(refused("slow_sender", "the body arrives too slowly"));
+      },
+    };
     const onData = (part: Buffer) => {
       parts.push(part);
       bytes += part.length;
-      readAt = opts.clock.now();
-      if (bytes > opts.max) finish({ kind: "long", prefix: parts });
+      expiry.at = nextPause();
+      if (bytes <= opts.max) return;
+      source.pause();
+      finish({ kind: "long", prefix: parts });
     };
     const onEnd = () => {
       const [only] = parts;
@@ -51,22 +64,11 @@
     };
     const onClose = () =>
       finish(refused("slow_sender", "the body ended before its length"));
-    const onAbort = () =>
-      finish(refused("slow_sender", "the body did not arrive in time"));
-    const watch = async () => {
-      while (!ended.signal.aborted) {
-        const left = readAt + opts.pauseMs - opts.clock.now();
-        if (left <= 0) {
-          finish(refused("slow_sender", "the body arrives too slowly"));
-        } else await opts.clock.sleep(left, ended.signal);
-      }
-    };
     source.on("data", onData);
     source.on("end", onEnd);
     source.on("close", onClose);
-    opts.signal.addEventListener("abort", onAbort, { once: true });
-    if (opts.signal.aborted) onAbort();
-    void watch();
+    if (source.destroyed) onClose();
+    else opts.watch.add(expiry);
   });
 }
 
@@ -76,15 +78,16 @@
  *
  * @param req - the caller's request
  * @param opts - longest body of the entry, longest body that is kept, both in
- * bytes, longest pause in milliseconds, clock, and the end of the request
+ * bytes, longest pause in milliseconds, clock, timers, and the deadline
  * @returns the body, or why it was refused
  */
 export async function takeBody(req: CallerRequest, opts: {
   maxBytes: number;
   replayBytes: number;
   pauseMs: number;
+  deadlineAt: number;
   clock: Clock;
-  signal: AbortSignal;
+  watch: ExpiryWatch;
 }): Promise<Result<Buffer | CallerBodyStream | undefined, Refusal>> {
   const source = req.body;
   if (source === undefined) return ok(undefined);
@@ -102,6 +105,7 @@
       limit: opts.maxBytes,
       pauseMs: opts.pauseMs,
       clock: opts.clock,
+      watch: opts.watch,
       onStart,
     });
   if ((req.contentLength ?? 0) > opts.replayBytes) {
--- a/src/links/end_to_end_headers.ts
+++ b/src/links/end_to_end_headers.ts
@@ -1,17 +1,4 @@
-const HOP_BY_HOP = new Set([
-  "connection",
-  // Answered by whoever receives it; undici refuses to send it.
-  "expect",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
-const OWN_PREFIX = "fescuerun-";
+import { isLinkHeader } from "./is_link_header.ts";
 
 /**
  * Removes headers that concern one connection only, headers that `Connection`
@@ -36,7 +23,7 @@
         (named ??= []).push(option);
       }
     }
-    if (HOP_BY_HOP.has(name) || name.startsWith(OWN_PREFIX)) continue;
+    if (isLinkHeader(name)) continue;
     if (name === "__proto__") continue;
     const known = headers[name];
     if (known === undefined) headers[name] = value;
--- a/src/links/hop_server.ts
+++ b/src/links/hop_server.ts
@@ -1,10 +1,11 @@
-import { createHash, timingSafeEqual } from "node:crypto";
+import { timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../base/clock.ts";
 import type { Refusal } from "../base/refusal.ts";
 import type { Entry } from "../catalogue/entry.ts";
 import type { DispatchRequest } from "../upstreams/dispatch_request.ts";
 import type { Dispatching } from "../upstreams/dispatching.ts";
+import { answerHeaders } from "./answer_headers.ts";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { hasBody } from "./has_body.ts";
 import { HOP_HEADER } from "./hop_header.ts";
@@ -25,7 +26,7 @@
     findEntry: (name: string) => Entry | undefined;
     local: Dispatching;
   };
-  readonly #credentialHash: Buffer;
+  readonly #credential: Buffer;
   /** Requests without an answer yet. */
   readonly #pending = new Set<ServerResponse>();
 
@@ -43,8 +44,7 @@
     signal: AbortSignal;
   }) {
     this.#opts = opts;
-    this.#credentialHash = createHash("sha256").update(opts.credential)
-      .digest();
+    this.#credential = Buffer.from(opts.credential, "latin1");
     void this.#sendInterim(opts.signal);
   }
 
@@ -79,11 +79,7 @@
       this.#refuse(req, res, outcome.refusal);
       return;
     }
-    const headers = endToEndHeaders(
-      Object.entries(outcome.headers).flatMap(([name, value]) =>
-        [value].flat().flatMap((one) => [name, one])
-      ),
-    );
+    const headers = answerHeaders(outcome.headers);
     headers[HOP_HEADER.waitMs] = String(Math.max(0, outcome.waitMs));
     await writeAnswer(res, { ...outcome, headers });
   }
@@ -91,9 +87,10 @@
   #isPeer(req: IncomingMessage): boolean {
     const given = req.headers[HOP_HEADER.credential];
     if (typeof given !== "string") return false;
-    // Hashes have one length, which `timingSafeEqual` requires.
-    const hash = createHash("sha256").update(given).digest();
-    return timingSafeEqual(hash, this.#credentialHash);
+    const bytes = Buffer.from(given, "latin1");
+    // The length of the credential is not secret.
+    return bytes.length === this.#credential.length &&
+      timingSafeEqual(bytes, this.#credential);
   }
 
   #parse(req: IncomingMessage): DispatchRequest | Refusal {
--- a/tests/support/entry_rig.ts
+++ b/tests/support/entry_rig.ts
@@ -5,6 +5,7 @@
 import { Attempts } from "../../src/entry/attempts.ts";
 import { CallerListener } from "../../src/entry/caller_listener.ts";
 import { UpstreamChooser } from "../../src/entry/choose_upstream.ts";
+import { ExpiryWatch } from "../../src/entry/expiry_watch.ts";
 import { HoldQueue } from "../../src/entry/hold_queue.ts";
 import { Router } from "../../src/entry/router.ts";
 import { RetryBudget } from "../../src/limits/retry_budget.ts";
@@ -89,6 +90,7 @@
     });
     const router = new Router({
       clock,
+      watch: new ExpiryWatch(clock, this.end.signal),
       contact: { mode: () => this.mode },
       catalogue: testCatalogue.view(entry),
       shares: {
