--- /dev/null
+++ b/tests/limits/share_holder_test.ts
@@ -0,0 +1,163 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { ShareHolder } from "../../src/limits/share_holder.ts";
+import { ManualClock } from "../support/manual_clock.ts";
+
+const never = () => new AbortController().signal;
+
+function setUp() {
+  const clock = new ManualClock();
+  const holder = new ShareHolder(clock, never());
+  const log: { at: number; code: string }[] = [];
+  const releases: (() => void)[] = [];
+  const ask = (until = Number.POSITIVE_INFINITY, signal = never()) =>
+    void holder.admit("e", { until, signal }).then((result) => {
+      log.push({
+        at: clock.now(),
+        code: result.isOk() ? "admitted" : result.error.code,
+      });
+      if (result.isOk()) releases.push(result.value.release);
+    });
+  return { clock, holder, log, releases, ask };
+}
+
+test("no window admits more than the share over it plus the burst", async () => {
+  const step = fc.record({
+    rate: fc.constantFrom(0, 0.5, 3, 10, 40, 200),
+    ttl: fc.integer({ min: 0, max: 400 }),
+    requests: fc.integer({ min: 0, max: 30 }),
+    pause: fc.integer({ min: 0, max: 300 }),
+    renew: fc.boolean(),
+  });
+  const steps = fc.array(step, { minLength: 1, maxLength: 15 });
+  await fc.assert(
+    fc.asyncProperty(steps, async (plan) => {
+      const { clock, holder, log, ask } = setUp();
+      // Rate of the valid share by time.
+      const shares: { from: number; to: number; rate: number }[] = [];
+      for (const { rate, ttl, requests, pause, renew } of plan) {
+        if (renew) {
+          const now = clock.now();
+          const last = shares.at(-1);
+          if (last !== undefined) last.to = Math.min(last.to, now);
+          shares.push({ from: now, to: now + ttl, rate });
+          holder.apply(
+            [{ entry: "e", ratePerS: rate, concurrency: 10_000 }],
+            now + ttl,
+          );
+        }
+        for (let i = 0; i < requests; i++) ask();
+        await clock.advance(pause);
+      }
+      await clock.advance(600);
+      const times = log.filter((one) => one.code === "admitted")
+        .map((one) => one.at);
+      for (const [i, from] of times.entries()) {
+        const at = shares.findLast((s) => s.from <= from)!;
+        assert.ok(from < at.to || at.from === from, "admitted without a lease");
+        const burst = Math.max(1, at.rate / 10);
+        for (const [j, to] of times.entries()) {
+          if (j < i) continue;
+          const earned = shares.reduce((sum, s) => {
+            const ms = Math.min(s.to, to) - Math.max(s.from, from);
+            return sum + Math.max(0, ms) * s.rate / 1000;
+          }, 0);
+          assert.ok(j - i + 1 <= earned + burst + 1e-6);
+        }
+      }
+    }),
+    { numRuns: 60 },
+  );
+});
+
+test("requests wait in order, for a share, a token or a place", async (t) => {
+  const share = (ratePerS: number, concurrency: number) => [
+    { entry: "e", ratePerS, concurrency },
+  ];
+  await t.test("refused after 500 ms without a share", async () => {
+    const { clock, log, ask } = setUp();
+    ask();
+    await clock.advance(499);
+    assert.deepEqual(log, []);
+    await clock.advance(1);
+    assert.deepEqual(log, [{ at: 500, code: "limit_exceeded" }]);
+  });
+  await t.test("admitted when a share arrives in time", async () => {
+    const { clock, holder, log, ask } = setUp();
+    ask();
+    await clock.advance(300);
+    holder.apply(share(10, 1), 2000);
+    await clock.advance(0);
+    assert.deepEqual(log, [{ at: 300, code: "admitted" }]);
+  });
+  await t.test("a larger share does not wait for the smaller's token", async () => {
+    const { clock, holder, log, ask } = setUp();
+    holder.apply(share(0.1, 9), 2000);
+    ask();
+    ask();
+    await clock.advance(10);
+    assert.equal(log.length, 1);
+    holder.apply(share(100, 9), 2000);
+    await clock.advance(10);
+    assert.equal(log.length, 2);
+  });
+  await t.test("the deadline ends the wait earlier", async () => {
+    const { clock, log, ask } = setUp();
+    ask(50);
+    await clock.advance(60);
+    assert.deepEqual(log, [{ at: 50, code: "limit_exceeded" }]);
+  });
+  await t.test("a caller that goes away leaves the queue", async () => {
+    const { clock, holder, log, ask } = setUp();
+    const gone = new AbortController();
+    ask(1000, gone.signal);
+    ask(1000);
+    gone.abort();
+    holder.apply(share(10, 1), 2000);
+    await clock.advance(0);
+    assert.deepEqual(log.map((one) => one.code), [
+      "limit_exceeded",
+      "admitted",
+    ]);
+  });
+  await t.test("a place is free once a request has ended", async () => {
+    const { clock, holder, log, releases, ask } = setUp();
+    holder.apply(share(1000, 2), 2000);
+    for (let i = 0; i < 3; i++) ask();
+    await clock.advance(100);
+    assert.equal(log.length, 2);
+    releases[0]!();
+    releases[0]!();
+    ask();
+    await clock.advance(100);
+    assert.equal(log.length, 3, "a second release must not free a place");
+  });
+  await t.test("nothing is admitted from the end of the lease on", async () => {
+    const { clock, holder, log, ask } = setUp();
+    holder.apply(share(1000, 9), 100);
+    await clock.advance(100);
+    ask();
+    await clock.advance(500);
+    assert.deepEqual(log, [{ at: 600, code: "limit_exceeded" }]);
+  });
+});
+
+test("the report holds demand, and what is still in use", async () => {
+  const { clock, holder, releases, ask } = setUp();
+  assert.deepEqual(holder.collect(), []);
+  holder.apply([{ entry: "e", ratePerS: 100, concurrency: 5 }], 2000);
+  for (let i = 0; i < 5; i++) ask();
+  await clock.advance(40);
+  holder.apply([{ entry: "e", ratePerS: 10, concurrency: 2 }], 2000);
+  const [report] = holder.collect();
+  assert.equal(Math.round(report?.demandPerS ?? 0), 5);
+  assert.equal(report?.demandConcurrency, 5);
+  assert.equal(report.heldRatePerS, 10);
+  assert.equal(report.heldConcurrency, 5, "five requests are in flight");
+  for (const release of releases) release();
+  assert.equal(holder.collect()[0]?.heldConcurrency, 2);
+  holder.apply([], 2000);
+  await clock.advance(10_000);
+  assert.deepEqual(holder.collect(), []);
+});
