--- /dev/null
+++ b/tests/entry/caller_listener_test.ts
@@ -0,0 +1,501 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createHash, randomBytes } from "node:crypto";
+import { Readable } from "node:stream";
+import { test, type TestContext } from "node:test";
+import { request } from "undici";
+import type { DispatchOutcome } from "../../src/upstreams/dispatch_outcome.ts";
+import { EntryRig } from "../support/entry_rig.ts";
+import { FakeDispatching } from "../support/fake_dispatching.ts";
+import { ManualClock } from "../support/manual_clock.ts";
+import { RawCaller } from "../support/raw_caller.ts";
+import { testCatalogue } from "../support/test_catalogue.ts";
+
+const { echo, refuse } = FakeDispatching;
+
+async function start(
+  t: TestContext,
+  opts: Partial<ConstructorParameters<typeof EntryRig>[0]> = {},
+): Promise<EntryRig> {
+  const rig = new EntryRig({ local: new FakeDispatching(echo()), ...opts });
+  await rig.start();
+  rig.assignments.adopt(1, testCatalogue.row());
+  t.after(() => {
+    rig.stop();
+    assert.deepEqual(rig.logged, []);
+  });
+  return rig;
+}
+
+/** A response whose body the test controls. */
+function answer(
+  body: Readable,
+  headers: Record<string, string> = {},
+): DispatchOutcome {
+  return { kind: "response", status: 200, headers, body, waitMs: 0 };
+}
+
+async function turns(count = 20): Promise<void> {
+  for (let i = 0; i < count; i++) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+function json(text: string): { code: string; outcome: string; data: unknown } {
+  const body = text.slice(text.indexOf("\r\n\r\n") + 4);
+  return JSON.parse(body) as ReturnType<typeof json>;
+}
+
+test("requests with and without bodies get their answers", async (t) => {
+  const fake = new FakeDispatching(
+    echo(200, { "fescuerun-boot": "b", connection: "x-drop", "x-a": "1" }),
+  );
+  const rig = await start(t, { local: fake });
+  const cases: [name: string, sent: string, body: string, target?: string][] = [
+    ["no body", "GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\n", "", "/a?b=c"],
+    [
+      "length",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+      "abc",
+    ],
+    [
+      "chunks",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+      "abc",
+    ],
+    ["absolute form", "GET http://h/x HTTP/1.1\r\nHost: h\r\n\r\n", "", "/x"],
+    [
+      "own headers are dropped",
+      "GET / HTTP/1.1\r\nHost: h\r\nFescuerun-Epoch: 9\r\n" +
+      "Connection: x-b\r\nX-B: 1\r\nX-C: 1\r\nX-C: 2\r\n\r\n",
+      "",
+    ],
+  ];
+  // All on one connection, so that a body read wrongly shows in the next one.
+  const caller = new RawCaller(rig.port);
+  for (const [name, sent, body, target] of cases) {
+    caller.text = "";
+    caller.write(sent);
+    const text = await caller.until(/\r\n\r\n(.*0\r\n\r\n)$/s);
+    assert.match(text, /^HTTP\/1\.1 200 /, name);
+    assert.match(text, /x-a: 1\r\n/);
+    assert.match(text, /fescuerun-request-id: [0-9a-f-]{36}\r\n/);
+    assert.doesNotMatch(text, /fescuerun-boot|x-drop/);
+    if (body !== "") assert.match(text, new RegExp(`\r\n${body}\r\n`));
+    assert.equal(fake.requests.at(-1)?.target, target ?? "/");
+  }
+  const { headers } = fake.requests.at(-1)!;
+  assert.deepEqual(headers, { host: "h", "x-c": ["1", "2"] });
+  caller.socket.destroy();
+});
+
+test("HEAD has no body, and the connection stays usable", async (t) => {
+  const body = () => answer(Readable.from([]), { "content-length": "5" });
+  const rig = await start(t, { local: new FakeDispatching(body) });
+  const caller = new RawCaller(rig.port);
+  for (let i = 0; i < 2; i++) {
+    caller.text = "";
+    caller.write("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+    const text = await caller.until(/\r\n\r\n/);
+    assert.match(text, /content-length: 5\r\n/);
+    assert.match(text, /\r\n\r\n$/);
+  }
+  caller.socket.destroy();
+});
+
+test("Expect: 100-continue is answered only when the body is wanted", async (t) => {
+  const head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n" +
+    "Expect: 100-continue\r\n\r\n";
+  const rig = await start(t);
+  const caller = new RawCaller(rig.port).write(head);
+  await caller.until(/^HTTP\/1\.1 100 Continue\r\n\r\n/);
+  caller.write("abc");
+  await caller.until(/HTTP\/1\.1 200 .*\r\nabc\r\n/s);
+  caller.socket.destroy();
+
+  rig.mode = "cut_off";
+  const refused = new RawCaller(rig.port).write(head);
+  const text = await refused.closed();
+  assert.match(text, /^HTTP\/1\.1 503 /);
+  assert.equal(json(text).code, "router_not_current");
+});
+
+test("refusals are reported before the body is read", async (t) => {
+  const cases: {
+    name: string;
+    entry?: Record<string, unknown>;
+    mode?: "cut_off" | "starting";
+    length?: number;
+    status: number;
+    code: string;
+    data?: unknown;
+  }[] = [
+    {
+      name: "wrong region names the home regions and nothing else",
+      entry: { homeRegions: ["costa", "oriente"] },
+      status: 421,
+      code: "wrong_region",
+      data: { homeRegions: ["costa", "oriente"] },
+    },
+    {
+      name: "cut off",
+      mode: "cut_off",
+      status: 503,
+      code: "router_not_current",
+    },
+    {
+      name: "starting",
+      mode: "starting",
+      status: 503,
+      code: "router_not_current",
+    },
+    {
+      name: "too large",
+      length: 1024 * 1024 + 1,
+      status: 413,
+      code: "body_too_large",
+      data: { maxBodyBytes: 1024 * 1024 },
+    },
+  ];
+  for (const { name, entry, mode, length, status, code, data } of cases) {
+    await t.test(name, async (t) => {
+      const local = new FakeDispatching();
+      const rig = await start(t, { local, entry: testCatalogue.entry(entry) });
+      rig.mode = mode ?? "current";
+      const caller = new RawCaller(rig.port).write(
+        "POST / HTTP/1.1\r\nHost: h\r\n" +
+          `Content-Length: ${length ?? 100_000}\r\n\r\n`,
+      );
+      const text = await caller.until(/\}\}$/);
+      assert.match(text, new RegExp(`^HTTP/1\\.1 ${status} `));
+      assert.match(text, /fescuerun-outcome: not_run\r\n/);
+      const body = json(text);
+      assert.deepEqual(
+        [body.code, body.outcome, body.data],
+        [code, "not_run", data ?? {}],
+      );
+      if (code === "wrong_region") assert.doesNotMatch(text, /acme|"e"/);
+      assert.deepEqual([local.requests.length, rig.admitted], [0, 0]);
+      caller.socket.destroy();
+    });
+  }
+});
+
+test("bodies longer than the entry allows are refused", async (t) => {
+  const entry = testCatalogue.entry({
+    limits: { ratePerS: 1, concurrency: 1, maxBodyBytes: 100_000 },
+  });
+  const chunk = "8000\r\n" + "x".repeat(0x8000) + "\r\n";
+  for (const maxBodyBytes of [10, 100_000]) {
+    const limits = { ...entry.limits, maxBodyBytes };
+    // The upstream would answer the longer body, which is streamed to it.
+    const rig = await start(t, {
+      entry: { ...entry, limits },
+      local: new FakeDispatching(async (req) => {
+        await FakeDispatching.read(req).catch(() => undefined);
+        return refuse("upstream_failed", "outcome_unknown")(req, t.signal);
+      }),
+    });
+    const caller = new RawCaller(rig.port).write(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        chunk.repeat(5),
+    );
+    const body = json(await caller.until(/\}\}$/));
+    assert.equal(body.code, "body_too_large");
+    assert.equal(
+      body.outcome,
+      maxBodyBytes === 10 ? "not_run" : "outcome_unknown",
+    );
+    assert.equal(rig.released, 1);
+    caller.socket.destroy();
+  }
+});
+
+test("slow senders are refused", async (t) => {
+  await t.test("headers", async (t) => {
+    const rig = await start(t, { requests: { headersTimeoutMs: 50 } });
+    const caller = new RawCaller(rig.port).write("GET / HTTP/1.1\r\nHost: ");
+    const text = await caller.closed();
+    assert.match(text, /^HTTP\/1\.1 408 /);
+    assert.equal(json(text).code, "slow_sender");
+  });
+  for (const length of [100, 100_000]) {
+    await t.test(`body of ${length} bytes`, async (t) => {
+      const clock = new ManualClock();
+      const local = new FakeDispatching(async (req) => {
+        await FakeDispatching.read(req).catch(() => undefined);
+        return refuse("upstream_failed", "outcome_unknown")(req, t.signal);
+      });
+      const rig = await start(t, { clock, local });
+      const caller = new RawCaller(rig.port).write(
+        `POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${length}\r\n\r\nab`,
+      );
+      while (rig.admitted === 0) await turns(1);
+      await turns();
+      await clock.advance(4900);
+      caller.write("c");
+      await turns();
+      await clock.advance(2900);
+      assert.equal(caller.text, "", "the pause starts anew with each part");
+      await clock.advance(2200);
+      const body = json(await caller.until(/\}\}$/));
+      assert.equal(body.code, "slow_sender");
+      assert.equal(
+        body.outcome,
+        length === 100 ? "not_run" : "outcome_unknown",
+      );
+      caller.socket.destroy();
+    });
+  }
+});
+
+test("oversized headers are refused", async (t) => {
+  const rig = await start(t, { requests: { maxHeaderBytes: 1024 } });
+  const caller = new RawCaller(rig.port).write(
+    `GET / HTTP/1.1\r\nHost: h\r\nX-A: ${"a".repeat(2000)}\r\n\r\n`,
+  );
+  const text = await caller.closed();
+  assert.match(text, /^HTTP\/1\.1 431 /);
+  assert.equal(json(text).code, "headers_too_large");
+});
+
+test("a broken request does not get into the answer of another", async (t) => {
+  let end: (() => void) | undefined;
+  const local = new FakeDispatching(() =>
+    new Promise((resolve) => {
+      end = () => resolve(answer(Readable.from([Buffer.from("whole")])));
+    })
+  );
+  const rig = await start(t, { local });
+  const caller = new RawCaller(rig.port).write(
+    "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+  );
+  while (end === undefined) await turns(1);
+  caller.write("not http at all\r\n\r\n");
+  await caller.closed();
+  end();
+  assert.doesNotMatch(caller.text, /400|431|408/);
+});
+
+test("a truncated answer never looks whole", async (t) => {
+  const cases: [
+    name: string,
+    version: string,
+    headers: Record<string, string>,
+  ][] = [
+    ["chunked", "1.1", {}],
+    ["with a length", "1.1", { "content-length": "100" }],
+    // Its end is the end of the connection, so only a reset tells.
+    ["until the connection ends", "1.0", {}],
+  ];
+  for (const [name, version, headers] of cases) {
+    for (const over of ["local", "hop"]) {
+      await t.test(`${name}, ${over}`, async (t) => {
+        const bodies: Readable[] = [];
+        const fake = new FakeDispatching(() => {
+          const body = new Readable({ read: () => undefined });
+          bodies.push(body);
+          body.push("part");
+          return answer(body, headers);
+        });
+        const rig = await start(t, { local: fake });
+        if (over === "hop") {
+          rig.assignments.adopt(2, testCatalogue.row({ vm: "r2" }));
+        }
+        const caller = new RawCaller(rig.port).write(
+          `GET / HTTP/${version}\r\nHost: h\r\n\r\n`,
+        );
+        await caller.until(/part/);
+        bodies[0]!.destroy(new Error("cut"));
+        await caller.closed();
+        assert.equal(caller.failed?.code, "ECONNRESET");
+        assert.doesNotMatch(caller.text, /\r\n0\r\n\r\n$/);
+        assert.equal(rig.released, 1);
+      });
+    }
+  }
+  await t.test("an answer shorter than its length", async (t) => {
+    const rig = await start(t, {
+      local: new FakeDispatching(() =>
+        answer(Readable.from([Buffer.from("x")]), { "content-length": "9" })
+      ),
+    });
+    const caller = new RawCaller(rig.port).write(
+      "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+    );
+    await caller.closed();
+    assert.equal(caller.failed?.code, "ECONNRESET");
+  });
+});
+
+test("a caller that goes away cancels its request", async (t) => {
+  for (const vm of ["r1", "r2"]) {
+    const cancelled = deferred();
+    const fake = new FakeDispatching((_, signal) =>
+      new Promise((resolve) => {
+        signal.addEventListener("abort", () => {
+          cancelled.resolve(undefined);
+          resolve(refuse("upstream_failed", "outcome_unknown")(_, signal));
+        });
+      })
+    );
+    const rig = await start(t, { local: fake });
+    rig.assignments.adopt(2, testCatalogue.row({ vm }));
+    const caller = new RawCaller(rig.port).write(
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx",
+    );
+    while (fake.requests.length === 0) await turns(1);
+    caller.socket.destroy();
+    await cancelled.promise;
+    await turns();
+    assert.deepEqual([fake.requests.length, rig.released], [1, 1]);
+  }
+});
+
+function deferred() {
+  let resolve!: (value: unknown) => void;
+  const promise = new Promise((r) => resolve = r);
+  return { promise, resolve };
+}
+
+test("large bodies stream both ways with backpressure", async (t) => {
+  const sent = randomBytes(8 * 1024 * 1024);
+  const hash = (data: Buffer) =>
+    createHash("sha256").update(data).digest("hex");
+  for (const vm of ["r1", "r2"]) {
+    const fake = new FakeDispatching((req) =>
+      Promise.resolve(answer(req.body as Readable))
+    );
+    const rig = await start(t, {
+      local: fake,
+      entry: testCatalogue.entry({
+        limits: {
+          ratePerS: 1,
+          concurrency: 1,
+          maxBodyBytes: 16 * 1024 * 1024,
+        },
+      }),
+    });
+    rig.assignments.adopt(2, testCatalogue.row({ vm }));
+    const reply = await request(rig.url, { method: "POST", body: sent });
+    const got = Buffer.from(await reply.body.arrayBuffer());
+    assert.equal(hash(got), hash(sent));
+
+    // A caller that does not read stops the upstream's sending.
+    let pushed = 0;
+    const endless = new FakeDispatching(() =>
+      answer(
+        new Readable({
+          read() {
+            pushed++;
+            this.push(Buffer.alloc(64 * 1024));
+          },
+        }),
+      )
+    );
+    const slow = await start(t, { local: endless });
+    slow.assignments.adopt(2, testCatalogue.row({ vm }));
+    const caller = new RawCaller(slow.port);
+    caller.socket.pause();
+    caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    let before = -1;
+    while (pushed === 0 || pushed !== before) {
+      before = pushed;
+      await turns(2000);
+    }
+    assert.ok(pushed < 2000, `${pushed} parts were buffered`);
+    caller.socket.destroy();
+  }
+});
+
+test("an answer that outlasts the deadline is cut", async (t) => {
+  const clock = new ManualClock();
+  const body = new Readable({ read: () => undefined });
+  body.push("part");
+  const rig = await start(t, {
+    clock,
+    local: new FakeDispatching(() => answer(body)),
+  });
+  const caller = new RawCaller(rig.port).write(
+    "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+  );
+  await caller.until(/part/);
+  await clock.advance(8200);
+  await caller.closed();
+  assert.equal(caller.failed?.code, "ECONNRESET");
+  assert.equal(rig.released, 1);
+});
+
+test("probes tell liveness and readiness", async (t) => {
+  const rig = await start(t);
+  const probe = async (path: string) =>
+    (await request(`${rig.url}/-/${path}`)).statusCode;
+  assert.deepEqual([await probe("live"), await probe("ready")], [200, 200]);
+  rig.ready = false;
+  assert.deepEqual([await probe("live"), await probe("ready")], [200, 503]);
+  assert.equal(await probe("other"), 404);
+});
+
+test("a drain under load cuts no request", async (t) => {
+  const fake = new FakeDispatching(async (req, signal) => {
+    await turns(5);
+    return await echo()(req, signal);
+  });
+  const rig = await start(t, { local: fake });
+  const stop = new AbortController();
+  const results: string[] = [];
+  // Callers that keep their connection until they are told to close it.
+  const callers = Array.from({ length: 50 }, async (_, i) => {
+    for (let n = 0; !stop.signal.aborted; n++) {
+      const caller = new RawCaller(rig.port);
+      try {
+        await once(caller.socket, "connect");
+      } catch {
+        return;
+      }
+      for (;; n++) {
+        caller.text = "";
+        const body = `${i}-${n}`;
+        caller.write(
+          "POST / HTTP/1.1\r\nHost: h\r\n" +
+            `Content-Length: ${body.length}\r\n\r\n${body}`,
+        );
+        const text = await caller.until(/0\r\n\r\n$/);
+        results.push(text.includes(`\r\n${body}\r\n`) ? "ok" : text);
+        if (/connection: close/i.test(text)) break;
+      }
+      await caller.closed();
+    }
+  });
+  while (results.length < 500) await turns(10);
+  const drained = rig.listener.drain(new AbortController().signal);
+  const ready = await request(`${rig.url}/-/ready`);
+  assert.equal(ready.statusCode, 503);
+  const before = results.length;
+  while (results.length < before + 500) await turns(10);
+  stop.abort();
+  await Promise.all([drained, ...callers]);
+  assert.deepEqual(results.filter((result) => result !== "ok"), []);
+  await assert.rejects(once(new RawCaller(rig.port).socket, "connect"));
+});
+
+test("a drain waits for a request that is arriving", async (t) => {
+  const clock = new ManualClock();
+  const rig = await start(t, { clock });
+  const caller = new RawCaller(rig.port).write("GET / HTTP/1.1\r\nHo");
+  const idle = new RawCaller(rig.port);
+  await once(idle.socket, "connect");
+  await turns();
+  const drain = { ended: false };
+  void rig.listener.drain(new AbortController().signal)
+    .then(() => drain.ended = true);
+  await clock.advance(3000);
+  assert.equal(drain.ended, false);
+  caller.write("st: h\r\n\r\n");
+  await caller.until(/^HTTP\/1\.1 200 .*connection: close/is);
+  await caller.closed();
+  while (!drain.ended) await clock.advance(50);
+  await idle.closed();
+  assert.equal(idle.text, "");
+});
--- a/tests/support/fake_dispatching.ts
+++ b/tests/support/fake_dispatching.ts
@@ -12,7 +12,6 @@
 /** Plays a list of outcomes; the last one is repeated. */
 export class FakeDispatching implements Dispatching {
   readonly requests: DispatchRequest[] = [];
-  readonly bodies: string[] = [];
   readonly #steps: Step[];
 
   constructor(...steps: Step[]) {
@@ -29,9 +28,12 @@
     return await step(req, signal);
   }
 
-  /** Reads the body, records it, and answers with it. */
-  static echo(status = 200, headers: Record<string, string> = {}): Step {
-    return async (req) => {
+  /** Answers with the request's body. */
+  static readonly echo =
+    (status = 200, headers: Record<string, string> = {}): Step =>
+    async (
+      req,
+    ) => {
       const body = await FakeDispatching.read(req);
       return {
         kind: "response",
@@ -41,23 +43,21 @@
         waitMs: 1,
       };
     };
-  }
 
-  static refuse(
+  static readonly refuse = (
     code: Refusal["code"],
     outcome: Refusal["outcome"] = "not_run",
     data?: Refusal["data"],
-  ): Step {
-    return () => ({
-      kind: "refused",
-      refusal: {
-        code,
-        outcome,
-        message: "from the fake",
-        ...(data === undefined ? {} : { data }),
-      },
-    });
-  }
+  ): Step =>
+  () => ({
+    kind: "refused",
+    refusal: {
+      code,
+      outcome,
+      message: "from the fake",
+      ...(data === undefined ? {} : { data }),
+    },
+  });
 
   static async read(req: DispatchRequest): Promise<string> {
     if (req.body === undefined) return "";
--- /dev/null
+++ b/tests/support/raw_caller.ts
@@ -0,0 +1,43 @@
+import { connect, type Socket } from "node:net";
+import { ChangeNotifier } from "../../src/base/change_notifier.ts";
+
+/** A caller that writes bytes as it likes and keeps what it received. */
+export class RawCaller {
+  readonly socket: Socket;
+  text = "";
+  readonly #changed = new ChangeNotifier();
+  failed: NodeJS.ErrnoException | undefined;
+
+  constructor(port: number) {
+    this.socket = connect({ port, host: "127.0.0.1", noDelay: true });
+    this.socket.setEncoding("latin1");
+    this.socket.on("data", (part: string) => {
+      this.text += part;
+      this.#changed.notify();
+    });
+    this.socket.on("close", () => this.#changed.notify());
+    this.socket.on("error", (err) => this.failed = err);
+  }
+
+  write(text: string): this {
+    this.socket.write(text, "latin1");
+    return this;
+  }
+
+  /** Waits until the received text matches. */
+  async until(pattern: RegExp): Promise<string> {
+    while (!pattern.test(this.text)) {
+      if (this.socket.closed) {
+        throw new Error(`closed before ${String(pattern)}: ${this.text}`);
+      }
+      await this.#changed.next();
+    }
+    return this.text;
+  }
+
+  /** Waits until the connection is closed. */
+  async closed(): Promise<string> {
+    while (!this.socket.closed) await this.#changed.next();
+    return this.text;
+  }
+}
