--- /dev/null
+++ b/src/daemon/platform_contracts.ts
@@ -0,0 +1,31 @@
+import { HttpServerGrants } from "../contracts/http_server_grants.ts";
+import { HttpTableService } from "../contracts/http_table_service.ts";
+import { HttpUpstreamReports } from "../contracts/http_upstream_reports.ts";
+import { HttpVmList } from "../contracts/http_vm_list.ts";
+import type { Settings } from "../settings/settings.ts";
+
+/** The adapters to the systems around the router. */
+export class PlatformContracts {
+  readonly table: HttpTableService;
+  readonly vmList: HttpVmList;
+  readonly reports = new HttpUpstreamReports();
+  readonly grants = new HttpServerGrants();
+
+  /**
+   * @param cfg - URLs of the platform's services
+   */
+  constructor(cfg: Settings["platform"]) {
+    this.table = new HttpTableService(cfg.tableService);
+    this.vmList = new HttpVmList(cfg.vmList);
+  }
+
+  /** Closes connections once the calls in progress have ended. */
+  async close(): Promise<void> {
+    await Promise.all([
+      this.table.close(),
+      this.vmList.close(),
+      this.reports.close(),
+      this.grants.close(),
+    ]);
+  }
+}
