--- a/src/daemon/data_plane.ts
+++ b/src/daemon/data_plane.ts
@@ -1,6 +1,7 @@
 import { Attempts } from "../entry/attempts.ts";
 import { CallerListener } from "../entry/caller_listener.ts";
 import { UpstreamChooser } from "../entry/choose_upstream.ts";
+import { ExpiryWatch } from "../entry/expiry_watch.ts";
 import { HoldQueue } from "../entry/hold_queue.ts";
 import { Router } from "../entry/router.ts";
 import { RetryBudget } from "../limits/retry_budget.ts";
@@ -81,6 +82,7 @@
     });
     return new Router({
       clock,
+      watch: new ExpiryWatch(clock, signal),
       contact: parts.contact,
       catalogue: {
         region: self.region,
