--- a/dev/deployment/deployment.ts
+++ b/dev/deployment/deployment.ts
@@ -41,6 +41,8 @@
   settings?: Record<string, unknown>;
   /** Added to the options of every upstream stand-in. */
   upstream?: Record<string, unknown>;
+  /** Arguments of Node.js for the routers, e.g. for a profile. */
+  routerNodeArgs?: string[];
   seed?: number;
 };
 
@@ -297,7 +299,13 @@
       peersUrl: `http://127.0.0.1:${ports.peers}`,
       adminUrl: `http://127.0.0.1:${ports.admin}`,
       process: new ManagedProcess(
-        ["dist/fescuerun.cjs", "serve", "--config", file],
+        [
+          ...this.options.routerNodeArgs ?? [],
+          "dist/fescuerun.cjs",
+          "serve",
+          "--config",
+          file,
+        ],
         join(this.dir, `${vm}.log`),
       ),
     });
