feat(catalogue): wait until a change is in force on every router

A member that has not confirmed counts as stopped after 2.5 s when one of its witnesses has confirmed, unless it says that it serves an older version. Members are read from the table service, because the polled view could miss a router that has just registered.

--- /dev/null
+++ b/src/catalogue/is_not_serving.ts
@@ -0,0 +1,38 @@
+import type { AcceptanceMember } from "./acceptance_member.ts";
+
+/** A router without store contact stops serving well within this time. */
+const SILENT_MS = 2500;
+
+type Evidence = {
+  member: AcceptanceMember;
+  now: number;
+  /** When the wait began, which is after the commit. */
+  startedAt: number;
+  /** When the read that returned `member` was sent. */
+  listedAt: number;
+  /** When the member last said that it serves an older version. */
+  servedOlderAt: number | undefined;
+  isConfirmed: (vm: string) => boolean;
+};
+
+/**
+ * Decides whether a member that has not confirmed a version is provably not
+ * serving an older one. After 2.5 s it is no longer `current` unless it has
+ * read the version. It can only be in `outage` with the agreement of all its
+ * witnesses, and one that has confirmed the version passes it on with each
+ * answer. A member without witnesses is never in `outage`.
+ *
+ * @param evidence - what is known of the member
+ * @returns whether the member counts as not serving
+ */
+export function isNotServing(evidence: Evidence): boolean {
+  const { member, now, startedAt, listedAt, servedOlderAt } = evidence;
+  const silentSince = servedOlderAt ?? startedAt;
+  // A row from before that time could name other witnesses than are in use.
+  if (now - silentSince < SILENT_MS || listedAt - startedAt < SILENT_MS) {
+    return false;
+  }
+  const witnesses = member.reachable?.witnesses;
+  return witnesses !== undefined &&
+    (witnesses.length === 0 || witnesses.some(evidence.isConfirmed));
+}
--- a/tests/catalogue/catalogue_editor_test.ts
+++ b/tests/catalogue/catalogue_editor_test.ts
@@ -10,7 +10,6 @@
 import { silentLogger } from "../support/silent_logger.ts";
 
 const document = parseCatalogue("a.yaml", CATALOGUE_TEXT)._unsafeUnwrap();
-const signal = new AbortController().signal;
 
 function setUp() {
   const table = new FakeTableService();
@@ -28,7 +27,7 @@
       author,
       action: "catalogue.apply",
       details: {},
-    }, signal);
+    }, new AbortController().signal);
     await clock.advance(20_000);
     return await pending;
   };
@@ -149,7 +148,7 @@
     author: "ana",
     action: "catalogue.apply",
     details: {},
-  }, signal);
+  }, new AbortController().signal);
   assert.equal(result._unsafeUnwrapErr().kind, "invalid");
   assert.deepEqual(audit().map((row) => row.outcome), ["refused"]);
 });
--- /dev/null
+++ b/tests/support/fake_catalogue_members.ts
@@ -0,0 +1,52 @@
+import { errAsync, okAsync, type ResultAsync } from "neverthrow";
+import type { AcceptanceMember } from "../../src/catalogue/acceptance_member.ts";
+import type { CatalogueMembers } from "../../src/catalogue/catalogue_members.ts";
+import type { TableError } from "../../src/contracts/table_error.ts";
+import type { CatalogueStatus } from "../../src/vms/catalogue_status.ts";
+
+type FakeMember = {
+  /** Version in force; undefined when the router does not answer. */
+  version: number | undefined;
+  mode?: CatalogueStatus["mode"];
+  witnesses?: string[];
+  /** The row cannot be understood. */
+  unreadable?: boolean;
+};
+
+/** Members whose state a test sets. */
+export class FakeCatalogueMembers implements CatalogueMembers {
+  readonly members = new Map<string, FakeMember>();
+  readonly notified: string[] = [];
+  /** While true, the rows cannot be read. */
+  down = false;
+
+  list(): ResultAsync<AcceptanceMember[], TableError> {
+    if (this.down) return errAsync({ kind: "unavailable", message: "down" });
+    return okAsync(
+      [...this.members].map(([vm, member]) => ({
+        vm,
+        reachable: member.unreadable === true
+          ? undefined
+          : { peerUrl: vm, witnesses: member.witnesses ?? [] },
+      })),
+    );
+  }
+
+  notify(peerUrl: string): Promise<void> {
+    this.notified.push(peerUrl);
+    return Promise.resolve();
+  }
+
+  status(peerUrl: string): Promise<CatalogueStatus | undefined> {
+    const member = this.members.get(peerUrl);
+    const version = member?.version;
+    return Promise.resolve(
+      member === undefined || version === undefined ? undefined : {
+        vm: peerUrl,
+        incarnation: "1",
+        version,
+        mode: member.mode ?? "current",
+      },
+    );
+  }
+}
