--- /dev/null
+++ b/src/admin/admin_context.ts
@@ -0,0 +1,12 @@
+import type { CatalogueEditor } from "../catalogue/catalogue_editor.ts";
+import type { CatalogueMembers } from "../catalogue/catalogue_members.ts";
+import type { AdminDeps } from "./admin_deps.ts";
+import type { AuditTrail } from "./audit_trail.ts";
+
+/** What the routes share. */
+export type AdminContext = AdminDeps & {
+  editor: CatalogueEditor;
+  /** Routers that have to put a version in force. */
+  catalogueMembers: CatalogueMembers;
+  audit: AuditTrail;
+};
--- /dev/null
+++ b/src/admin/describe_upstreams.ts
@@ -0,0 +1,79 @@
+import type { CatalogueDocument } from "../catalogue/catalogue_document.ts";
+import type { AssignmentRow } from "../shards/assignment_row.ts";
+import type { UpstreamsAnswer } from "./upstreams_answer.ts";
+import type { VmInventory } from "./vm_inventory.ts";
+
+type Upstream = UpstreamsAnswer["upstreams"][number];
+
+function ownedBy(row: AssignmentRow, position: number, id: string) {
+  const tenure = Object.hasOwn(row.tenures, id) ? row.tenures[id] : undefined;
+  return {
+    shards: row.shards.filter((owner) => owner === position).length,
+    pins: Object.values(row.pins).filter((owner) => owner === id).length,
+    dispatcher: tenure?.vm ?? null,
+    epoch: tenure?.epoch ?? null,
+  };
+}
+
+/**
+ * @param inventory - the known VMs
+ * @param rows - every known assignment row
+ * @param out - names that are out
+ * @returns every known upstream, sorted by service, region and id
+ */
+export function describeUpstreams(
+  inventory: VmInventory,
+  rows: readonly AssignmentRow[],
+  out: CatalogueDocument["out"],
+): UpstreamsAnswer {
+  const upstreams = new Map<string, Upstream>();
+  const isOut = (id: string, failureDomain: string) =>
+    out.vms.includes(id) || out.failureDomains.includes(failureDomain);
+  for (const vm of inventory.listed ?? []) {
+    const { id, region, failureDomain, address, state } = vm;
+    if (vm.kind !== "upstream") continue;
+    upstreams.set(id, {
+      id,
+      service: vm.service ?? "",
+      region,
+      failureDomain,
+      address,
+      state,
+      out: isOut(id, failureDomain),
+      shards: 0,
+      pins: 0,
+      dispatcher: null,
+      epoch: null,
+    });
+  }
+  for (const row of rows) {
+    const { region, service } = row;
+    for (const [position, upstream] of row.upstreams.entries()) {
+      const { id, address, failureDomain } = upstream;
+      const owned = ownedBy(row, position, id);
+      const known = upstreams.get(id);
+      // A former upstream without shards stays in its row for a while.
+      if (known === undefined && owned.shards === 0 && owned.pins === 0) {
+        continue;
+      }
+      upstreams.set(id, {
+        ...known ?? {
+          id,
+          service,
+          region,
+          failureDomain,
+          address,
+          state: "unlisted",
+          out: isOut(id, failureDomain),
+        },
+        ...owned,
+      });
+    }
+  }
+  const place = (one: Upstream) => `${one.service}/${one.region}/${one.id}`;
+  return {
+    vmListRead: inventory.listed !== undefined,
+    upstreams: [...upstreams.values()]
+      .sort((a, b) => place(a) < place(b) ? -1 : 1),
+  };
+}
--- /dev/null
+++ b/src/admin/domains_answer.ts
@@ -0,0 +1,14 @@
+import { z } from "zod";
+
+/** Every known failure domain. */
+export const DomainsAnswer = z.object({
+  vmListRead: z.boolean(),
+  domains: z.array(z.object({
+    name: z.string(),
+    region: z.string(),
+    out: z.boolean(),
+    entryVms: z.int(),
+    upstreamVms: z.int(),
+  })),
+});
+export type DomainsAnswer = z.infer<typeof DomainsAnswer>;
--- /dev/null
+++ b/src/admin/find_last_domain_regions.ts
@@ -0,0 +1,34 @@
+import type { VmInventory } from "./vm_inventory.ts";
+
+type Place = { region: string; failureDomain: string };
+
+/**
+ * Finds the regions that would have no failure domain in service. Domains with
+ * leaving VMs only do not count as in service. Without the VM list, the domains
+ * of routers count, which are never more than there are.
+ *
+ * @param name - the failure domain to be taken out
+ * @param out - failure domains that are out already
+ * @param inventory - the known VMs
+ * @returns regions of the domain in which no other domain is in service
+ */
+export function findLastDomainRegions(
+  name: string,
+  out: readonly string[],
+  inventory: VmInventory,
+): string[] {
+  const { listed, members } = inventory;
+  const known: Place[] = [...listed ?? [], ...members];
+  const serving: Place[] = listed?.filter(({ state }) => state === "live") ??
+    [...members];
+  const regions = new Set(
+    known.filter((place) => place.failureDomain === name)
+      .map(({ region }) => region),
+  );
+  return [...regions].filter((region) =>
+    !serving.some((place) =>
+      place.region === region && place.failureDomain !== name &&
+      !out.includes(place.failureDomain)
+    )
+  ).sort();
+}
--- /dev/null
+++ b/src/admin/send_error.ts
@@ -0,0 +1,12 @@
+import type { Context } from "hono";
+import type { AdminError } from "./admin_error.ts";
+import { ADMIN_STATUS } from "./admin_status.ts";
+
+/**
+ * @param c - the request's context
+ * @param error - what went wrong
+ * @returns the answer with the status of the error's code
+ */
+export function sendError(c: Context, error: AdminError): Response {
+  return c.json(error, ADMIN_STATUS[error.code]);
+}
--- a/src/catalogue/await_acceptance.ts
+++ b/src/catalogue/await_acceptance.ts
@@ -10,6 +10,10 @@
 const GIVE_UP_MS = 10_000;
 const MEMBERS_READ_MS = 1000;
 const CHECK_MS = 100;
+/** Most routers confirm within this time and need not be shown. */
+const FIRST_REPORT_MS = 200;
+/** The list of routers can be long. */
+const REPORT_MS = 500;
 
 type Options = {
   /** The committed version. */
@@ -25,8 +29,8 @@
  * not serving, see the design page, section 8.
  *
  * @param options - the version, the members, the clock and the signal
- * @returns events: `committed`, then `waiting` whenever the set of members that
- * have not confirmed changes, and at last `accepted` or, after 10 s,
+ * @returns events: `committed`, then `waiting` when the set of members that have
+ * not confirmed changes, at most twice a second, and at last `accepted` or, after 10 s,
  * `committed_not_yet_in_force`
  */
 export async function* awaitAcceptance(
@@ -42,6 +46,7 @@
   let listed: AcceptanceMember[] | undefined;
   let listedAt = Number.NEGATIVE_INFINITY;
   let shown: string | undefined;
+  let reportAt = startedAt + FIRST_REPORT_MS;
 
   try {
     yield { kind: "committed", version };
@@ -93,8 +98,9 @@
         return;
       }
       const waitingFor = vms?.join(" ") ?? "unknown";
-      if (waitingFor !== shown) {
+      if (waitingFor !== shown && now >= reportAt) {
         shown = waitingFor;
+        reportAt = now + REPORT_MS;
         yield { kind: "waiting", ...event };
       }
       await nextCheck(watch, clock, signal);
--- a/src/catalogue/catalogue_edit.ts
+++ b/src/catalogue/catalogue_edit.ts
@@ -10,6 +10,12 @@
   author: string;
   /** What the operator did, for the audit trail, e.g. `domain.out`. */
   action: string;
+  /**
+   * Only `out` differs from the stored document. The rules across entries are
+   * then not checked again, so that a document which an earlier release
+   * accepted cannot prevent taking a failure domain out.
+   */
+  outOnly?: true;
   /** Further data for the audit trail; never a key. */
   details: Record<string, unknown>;
 };
--- a/src/catalogue/catalogue_editor.ts
+++ b/src/catalogue/catalogue_editor.ts
@@ -66,7 +66,7 @@
     edit: CatalogueEdit,
     signal: AbortSignal,
   ): Promise<Result<CatalogueRow, EditError>> {
-    const problems = checkCatalogue(edit.document);
+    const problems = edit.outOnly === true ? [] : checkCatalogue(edit.document);
     const result = problems.length > 0
       ? err<CatalogueRow, EditError>({ kind: "invalid", problems })
       : await this.#commit(edit, signal);
--- a/src/catalogue/with_deadline.ts
+++ b/src/catalogue/with_deadline.ts
@@ -13,12 +13,16 @@
   run: (signal: AbortSignal) => PromiseLike<T>,
 ): Promise<T> {
   const ended = new AbortController();
-  const late = new AbortController();
-  const timer = options.clock.sleep(options.ms, ended.signal)
-    .then(() => late.abort());
+  const inner = new AbortController();
+  const abort = () => inner.abort();
+  // AbortSignal.any would keep an entry for each call at a long-lived signal.
+  options.signal.addEventListener("abort", abort, { once: true });
+  if (options.signal.aborted) abort();
+  const timer = options.clock.sleep(options.ms, ended.signal).then(abort);
   try {
-    return await run(AbortSignal.any([options.signal, late.signal]));
+    return await run(inner.signal);
   } finally {
+    options.signal.removeEventListener("abort", abort);
     ended.abort();
     await timer;
   }
