--- /dev/null
+++ b/src/cli/add_upstream_list.ts
@@ -0,0 +1,49 @@
+import type { Command } from "commander";
+import { UpstreamsAnswer } from "../admin/upstreams_answer.ts";
+import type { CliContext } from "./cli_context.ts";
+import { defineQuery } from "./define_query.ts";
+import { formatTable } from "./format_table.ts";
+import { noteVmList } from "./note_vm_list.ts";
+
+/**
+ * Adds `upstream list`.
+ *
+ * @param parent - the `upstream` command
+ * @param cli - output, environment and exit code
+ */
+export function addUpstreamList(parent: Command, cli: CliContext): void {
+  defineQuery(parent, cli, {
+    usage: "list",
+    description: "list upstreams with their shards and dispatchers",
+    example: "fescuerun upstream list",
+    path: () => "/v1/upstreams",
+    schema: UpstreamsAnswer,
+    show: ({ vmListRead, upstreams }) =>
+      formatTable(
+        [
+          "SERVICE",
+          "REGION",
+          "UPSTREAM",
+          "DOMAIN",
+          "STATE",
+          "OUT",
+          "SHARDS",
+          "PINS",
+          "DISPATCHER",
+          "EPOCH",
+        ],
+        upstreams.map((one) => [
+          one.service,
+          one.region,
+          one.id,
+          one.failureDomain,
+          one.state,
+          one.out,
+          one.shards,
+          one.pins,
+          one.dispatcher,
+          one.epoch,
+        ]),
+      ) + noteVmList(vmListRead),
+  });
+}
--- /dev/null
+++ b/src/cli/cli_failure.ts
@@ -0,0 +1,8 @@
+/** Why a command did not do what was asked. */
+export type CliFailure = {
+  exitCode: number;
+  /** Stable code for scripts, from the router or from the command line. */
+  code: string;
+  message: string;
+  data: Record<string, unknown>;
+};
--- /dev/null
+++ b/src/cli/connect.ts
@@ -0,0 +1,44 @@
+import { err, ok, type Result } from "neverthrow";
+import { AdminClient } from "./admin_client.ts";
+import type { CliContext } from "./cli_context.ts";
+import type { CliFailure } from "./cli_failure.ts";
+import type { CommonOptions } from "./common_options.ts";
+import { EXIT_CODE } from "./exit_code.ts";
+import { readFile } from "./read_file.ts";
+
+const DEFAULT_ADMIN = "http://127.0.0.1:8089";
+
+function usageError(message: string): CliFailure {
+  return { exitCode: EXIT_CODE.usage, code: "usage", message, data: {} };
+}
+
+/**
+ * @param cli - environment
+ * @param options - options of the command, which come before the environment
+ * @returns a client for the router that the operator means
+ */
+export async function connect(
+  cli: CliContext,
+  options: CommonOptions,
+): Promise<Result<AdminClient, CliFailure>> {
+  const baseUrl = options.admin ?? cli.env.FESCUERUN_ADMIN ?? DEFAULT_ADMIN;
+  if (!/^https?:\/\//.test(baseUrl) || !URL.canParse(baseUrl)) {
+    return err(
+      usageError(`--admin has to be a URL such as ${DEFAULT_ADMIN}`),
+    );
+  }
+  const file = options.credentialFile ??
+    cli.env.FESCUERUN_CREDENTIAL_FILE;
+  if (file === undefined) {
+    return err(
+      usageError("--credential-file or FESCUERUN_CREDENTIAL_FILE is required"),
+    );
+  }
+  const text = await readFile(file);
+  return text.andThen((content) => {
+    const credential = content.trim();
+    return /^[\x21-\x7e]+$/.test(credential)
+      ? ok(new AdminClient({ baseUrl, credential }))
+      : err(usageError(`${file} does not hold a credential in one line`));
+  });
+}
--- /dev/null
+++ b/src/cli/define_query.ts
@@ -0,0 +1,51 @@
+import type { Command } from "commander";
+import { err } from "neverthrow";
+import type { z } from "zod";
+import type { CliContext } from "./cli_context.ts";
+import type { CommonOptions } from "./common_options.ts";
+import { connect } from "./connect.ts";
+import { defineCommand } from "./define_command.ts";
+import { EXIT_CODE } from "./exit_code.ts";
+import { runAction } from "./run_action.ts";
+
+type Query<Schema extends z.ZodType> = {
+  usage: string;
+  description: string;
+  example: string;
+  /** Path and query of the route, from the command's options. */
+  path: (
+    options: Readonly<Record<string, string | number | true | undefined>>,
+  ) => string;
+  schema: Schema;
+  /** The answer as text. */
+  show: (answer: z.infer<Schema>) => string;
+};
+
+/**
+ * Adds a command that shows the answer of one route.
+ *
+ * @param parent - command that the new one belongs to
+ * @param cli - output, environment and exit code
+ * @param query - the command and the route
+ * @returns the new command, for further options
+ */
+export function defineQuery<Schema extends z.ZodType>(
+  parent: Command,
+  cli: CliContext,
+  query: Query<Schema>,
+): Command {
+  return defineCommand(parent, { ...query, remote: true })
+    .action(async (options: CommonOptions) => {
+      const json = options.json === true;
+      await runAction(cli, json, async () => {
+        const client = await connect(cli, options);
+        if (client.isErr()) return err(client.error);
+        const path = query.path({ ...options });
+        const answer = await client.value.get(path, query.schema);
+        return answer.map((value) => {
+          cli.out(json ? JSON.stringify(value) : query.show(value));
+          return EXIT_CODE.done;
+        });
+      });
+    });
+}
