--- a/tests/support/manual_clock.ts
+++ b/tests/support/manual_clock.ts
@@ -21,19 +21,17 @@
         resolve();
         return;
       }
-      const abort = () => {
+      const stop = () => {
         this.#sleepers = this.#sleepers.filter((other) => other !== sleeper);
         resolve();
       };
-      const sleeper = {
-        at: this.#now + ms,
-        wake: () => {
-          signal?.removeEventListener("abort", abort);
-          resolve();
-        },
+      const wake = () => {
+        signal?.removeEventListener("abort", stop);
+        resolve();
       };
+      const sleeper = { at: this.#now + ms, wake };
       this.#sleepers.push(sleeper);
-      signal?.addEventListener("abort", abort, { once: true });
+      signal?.addEventListener("abort", stop, { once: true });
     });
   }
 
