--- a/src/entry/caller_listener.ts
+++ b/src/entry/caller_listener.ts
@@ -107,22 +107,22 @@
     res.once("close", () => {
       if (!res.writableFinished) gone.abort();
     });
-    const length = req.headers["content-length"];
-    const request: CallerRequest = {
-      requestId,
-      method: req.method ?? "GET",
-      target: callerTarget(req.url ?? ""),
-      host: req.headers.host,
-      headers: endToEndHeaders(req.rawHeaders),
-      body: hasBody(req) ? req : undefined,
-      contentLength: length === undefined ? undefined : Number(length),
-      askForBody: () => {
-        if (!bodyWithheld) return;
-        bodyWithheld = false;
-        res.writeContinue();
-      },
-    };
     try {
+      const length = req.headers["content-length"];
+      const request: CallerRequest = {
+        requestId,
+        method: req.method ?? "GET",
+        target: callerTarget(req.url ?? ""),
+        host: req.headers.host,
+        headers: endToEndHeaders(req.rawHeaders),
+        body: hasBody(req) ? req : undefined,
+        contentLength: length === undefined ? undefined : Number(length),
+        askForBody: () => {
+          if (!bodyWithheld) return;
+          bodyWithheld = false;
+          res.writeContinue();
+        },
+      };
       const outcome = await this.#opts.router.handle(request, gone);
       if (outcome.kind === "refused") {
         const { refusal } = outcome;
--- a/src/links/end_to_end_headers.ts
+++ b/src/links/end_to_end_headers.ts
@@ -25,7 +25,8 @@
     }
     if (isLinkHeader(name)) continue;
     if (name === "__proto__") continue;
-    const known = headers[name];
+    // A header may be called like a member of `Object.prototype`.
+    const known = Object.hasOwn(headers, name) ? headers[name] : undefined;
     if (known === undefined) headers[name] = value;
     else if (typeof known === "string") {
       // A repeated Host or Content-Length is an error at the next hop; Node
--- a/src/links/hop_client.ts
+++ b/src/links/hop_client.ts
@@ -14,6 +14,7 @@
 // A connection that was idle for longer may have gone silent; a new one costs
 // about 1 ms.
 const IDLE_MS = 1000;
+const TCP_KEEP_ALIVE_MS = 1000;
 const MAX_RESPONSE_HEADER_BYTES = 64 * 1024;
 // The hop server sends an interim answer every 300 ms until it has an answer.
 const SILENT_MS = 1000;
@@ -46,7 +47,11 @@
       headersTimeout: 0,
       bodyTimeout: 0,
       maxHeaderSize: MAX_RESPONSE_HEADER_BYTES,
-      connect: { timeout: CONNECT_TIMEOUT_MS, keepAlive: true },
+      connect: {
+        timeout: CONNECT_TIMEOUT_MS,
+        keepAlive: true,
+        keepAliveInitialDelay: TCP_KEEP_ALIVE_MS,
+      },
     });
     void this.#watch(this.#ended.signal);
   }
--- a/src/links/peer_listener.ts
+++ b/src/links/peer_listener.ts
@@ -14,14 +14,15 @@
   readonly #server: DrainingServer;
 
   /**
-   * @param opts - clock, the limits of callers' headers, the handler of `/rpc`
-   * and the server of `/hop`
+   * @param opts - clock, the limits of callers' headers, the handler of `/rpc`,
+   * the server of `/hop`, and the log
    */
   constructor(opts: {
     clock: Clock;
     requests: { maxHeaderBytes: number; headersTimeoutMs: number };
     rpc: (req: IncomingMessage, res: ServerResponse) => void;
-    hop: HopServer;
+    hop: Pick<HopServer, "handle">;
+    logger: { error(fields: Record<string, unknown>, message: string): void };
   }) {
     this.#server = new DrainingServer({
       clock: opts.clock,
@@ -37,8 +38,14 @@
         if (expectsContinue) res.writeContinue();
         const url = req.url ?? "";
         if (url === "/rpc") opts.rpc(req, res);
-        else if (url.startsWith("/hop/")) void opts.hop.handle(req, res);
-        else res.writeHead(404).end();
+        else if (url.startsWith("/hop/")) {
+          opts.hop.handle(req, res).catch((err: unknown) => {
+            // A broken invariant ends one request, not the router.
+            opts.logger.error({ err }, "hop request failed");
+            res.socket?.resetAndDestroy();
+            res.destroy();
+          });
+        } else res.writeHead(404).end();
       },
       // Routers keep calling a coordinator until it has left.
       isAuxiliary: (req) => req.url === "/rpc",
--- a/tests/entry/caller_listener_test.ts
+++ b/tests/entry/caller_listener_test.ts
@@ -90,6 +90,24 @@
   caller.socket.destroy();
 });
 
+test("a broken invariant ends one request, not the router", async (t) => {
+  const local = new FakeDispatching(() => {
+    throw new Error("broken");
+  });
+  const rig = new EntryRig({ local });
+  await rig.start();
+  t.after(() => rig.stop());
+  rig.assignments.adopt(1, testCatalogue.row());
+  for (let i = 1; i <= 2; i++) {
+    const caller = new RawCaller(rig.port).write(
+      "GET / HTTP/1.1\r\nHost: h\r\nconstructor: x\r\n\r\n",
+    );
+    await caller.closed();
+    assert.equal(caller.text, "");
+    assert.equal(rig.logged.length, i);
+  }
+});
+
 test("HEAD has no body, and the connection stays usable", async (t) => {
   const body = () => answer(Readable.from([]), { "content-length": "5" });
   const rig = await start(t, { local: new FakeDispatching(body) });
@@ -487,15 +505,15 @@
   const idle = new RawCaller(rig.port);
   await once(idle.socket, "connect");
   await turns();
-  const drain = { ended: false };
+  const drained: true[] = [];
   void rig.listener.drain(new AbortController().signal)
-    .then(() => drain.ended = true);
+    .then(() => drained.push(true));
   await clock.advance(3000);
-  assert.equal(drain.ended, false);
+  assert.deepEqual(drained, []);
   caller.write("st: h\r\n\r\n");
   await caller.until(/^HTTP\/1\.1 200 .*connection: close/is);
   await caller.closed();
-  while (!drain.ended) await clock.advance(50);
+  while (drained.length === 0) await clock.advance(50);
   await idle.closed();
   assert.equal(idle.text, "");
 });
--- a/tests/support/entry_rig.ts
+++ b/tests/support/entry_rig.ts
@@ -115,6 +115,7 @@
       clock,
       requests,
       rpc: (_, res) => res.end("rpc"),
+      logger: { error: (...args) => void this.logged.push(args) },
       hop: new HopServer({
         clock,
         region: "sierra",
