--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -150,8 +150,14 @@
       outcome.body.once("close", ended);
     } else {
       ended();
-      // Another request need not find out again that it cannot be reached.
-      if (!isAborted(signal)) chooser.failed(req.service, upstream);
+      const point = classifyRefusal(outcome.refusal);
+      const unreachable = point === "not_connected" ||
+        point === "refused_by_dispatcher";
+      // Other requests need not find out again. A cancelled attempt and one
+      // with a bad body say nothing about the upstream.
+      if (unreachable && !isAborted(signal)) {
+        chooser.failed(req.service, upstream);
+      }
     }
     return outcome;
   }
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -114,7 +114,10 @@
       },
       homeRegions: entry.homeRegions,
       shards: service.shards,
-    }, end.signal);
+    }, end.signal).catch((err: unknown) => {
+      finish();
+      throw err;
+    });
     if (outcome.kind === "refused") {
       finish();
       return outcome;
--- a/tests/entry/caller_listener_test.ts
+++ b/tests/entry/caller_listener_test.ts
@@ -104,7 +104,7 @@
     );
     await caller.closed();
     assert.equal(caller.text, "");
-    assert.equal(rig.logged.length, i);
+    assert.deepEqual([rig.logged.length, rig.released], [i, i]);
   }
 });
 
@@ -427,6 +427,27 @@
   }
 });
 
+test("an answer before the end of a long body", async (t) => {
+  // The rest of the body must not be taken for the next request.
+  for (const vm of ["r1", "r2"]) {
+    const fake = new FakeDispatching(() => answer(Readable.from(["early"])));
+    const rig = await start(t, { local: fake });
+    rig.assignments.adopt(2, testCatalogue.row({ vm }));
+    const body = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n".repeat(10_000);
+    const caller = new RawCaller(rig.port).write(
+      `POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n` +
+        body.slice(0, 200_000),
+    );
+    await caller.until(/early\r\n0\r\n\r\n$/);
+    caller.text = "";
+    caller.write(`${body.slice(200_000)}GET /next HTTP/1.1\r\nHost: h\r\n\r\n`);
+    await caller.until(/early\r\n0\r\n\r\n$/);
+    assert.deepEqual(fake.requests.map((req) => req.target), ["/", "/next"]);
+    assert.equal(rig.released, 2);
+    caller.socket.destroy();
+  }
+});
+
 test("an answer that outlasts the deadline is cut", async (t) => {
   const clock = new ManualClock();
   const body = new Readable({ read: () => undefined });
