--- a/tests/entry/caller_listener_test.ts
+++ b/tests/entry/caller_listener_test.ts
@@ -90,11 +90,30 @@
   caller.socket.destroy();
 });
 
+test("a broken invariant ends one request, not the router", async (t) => {
+  const local = new FakeDispatching(() => {
+    throw new Error("broken");
+  });
+  const rig = new EntryRig({ local });
+  await rig.start();
+  t.after(() => rig.stop());
+  rig.assignments.adopt(1, testCatalogue.row());
+  for (let i = 1; i <= 2; i++) {
+    const caller = new RawCaller(rig.port).write(
+      "GET / HTTP/1.1\r\nHost: h\r\nconstructor: x\r\n\r\n",
+    );
+    await caller.closed();
+    assert.equal(caller.text, "");
+    assert.deepEqual([rig.logged.length, rig.released], [i, i]);
+  }
+});
+
 test("HEAD has no body, and the connection stays usable", async (t) => {
   const body = () => answer(Readable.from([]), { "content-length": "5" });
   const rig = await start(t, { local: new FakeDispatching(body) });
   const caller = new RawCaller(rig.port);
-  for (let i = 0; i < 2; i++) {
+  for (const [revision, vm] of ["r1", "r1", "r2", "r2"].entries()) {
+    rig.assignments.adopt(revision + 2, testCatalogue.row({ vm }));
     caller.text = "";
     caller.write("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
     const text = await caller.until(/\r\n\r\n/);
@@ -409,6 +428,27 @@
   }
 });
 
+test("an answer before the end of a long body", async (t) => {
+  // The rest of the body must not be taken for the next request.
+  for (const vm of ["r1", "r2"]) {
+    const fake = new FakeDispatching(() => answer(Readable.from(["early"])));
+    const rig = await start(t, { local: fake });
+    rig.assignments.adopt(2, testCatalogue.row({ vm }));
+    const body = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n".repeat(10_000);
+    const caller = new RawCaller(rig.port).write(
+      `POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n` +
+        body.slice(0, 200_000),
+    );
+    await caller.until(/early\r\n0\r\n\r\n$/);
+    caller.text = "";
+    caller.write(`${body.slice(200_000)}GET /next HTTP/1.1\r\nHost: h\r\n\r\n`);
+    await caller.until(/early\r\n0\r\n\r\n$/);
+    assert.deepEqual(fake.requests.map((req) => req.target), ["/", "/next"]);
+    assert.equal(rig.released, 2);
+    caller.socket.destroy();
+  }
+});
+
 test("an answer that outlasts the deadline is cut", async (t) => {
   const clock = new ManualClock();
   const body = new Readable({ read: () => undefined });
@@ -487,15 +527,15 @@
   const idle = new RawCaller(rig.port);
   await once(idle.socket, "connect");
   await turns();
-  const drain = { ended: false };
+  const drained: true[] = [];
   void rig.listener.drain(new AbortController().signal)
-    .then(() => drain.ended = true);
+    .then(() => drained.push(true));
   await clock.advance(3000);
-  assert.equal(drain.ended, false);
+  assert.deepEqual(drained, []);
   caller.write("st: h\r\n\r\n");
   await caller.until(/^HTTP\/1\.1 200 .*connection: close/is);
   await caller.closed();
-  while (!drain.ended) await clock.advance(50);
+  while (drained.length === 0) await clock.advance(50);
   await idle.closed();
   assert.equal(idle.text, "");
 });
