--- /dev/null
+++ b/tests/regions/coordinator_lease_test.ts
@@ -0,0 +1,179 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { errAsync, okAsync } from "neverthrow";
+import { RegionSimulation } from "../support/region_simulation.ts";
+import type { SimulationAction } from "../support/simulation_action.ts";
+
+const KEY = "coordinators/sierra";
+const signal = new AbortController().signal;
+
+async function region(
+  rules: ConstructorParameters<typeof RegionSimulation>[1] = {},
+) {
+  const simulation = new RegionSimulation(4, rules);
+  await simulation.advance(4000);
+  const holder = simulation.holders()[0]!;
+  const router = simulation.routers.indexOf(holder);
+  return { simulation, holder, router };
+}
+
+/** Time until another process holds the lease. */
+async function takeoverMs(simulation: RegionSimulation, limitMs: number) {
+  const before = simulation.holders()[0]?.incarnation;
+  const start = simulation.clock.now();
+  while (simulation.clock.now() - start < limitMs) {
+    await simulation.advance(10);
+    const [holder] = simulation.holders();
+    if (holder !== undefined && holder.incarnation !== before) {
+      return simulation.clock.now() - start;
+    }
+  }
+  return undefined;
+}
+
+const losses: {
+  name: string;
+  actions: (router: number) => SimulationAction[];
+  withinMs: number;
+}[] = [
+  {
+    name: "a lost holder is replaced within TTL, poll and heartbeat",
+    actions: (router) => [{ kind: "kill", router }],
+    withinMs: 1800,
+  },
+  {
+    name: "a holder cut off with its store is replaced",
+    actions: (router) => [{ kind: "split", side: 1 << router }],
+    withinMs: 1800,
+  },
+  {
+    name: "a paused holder is replaced",
+    actions: (router) => [{ kind: "pause", router, on: true }],
+    withinMs: 1800,
+  },
+  {
+    name: "a stopped holder is replaced without waiting for the TTL",
+    actions: (router) => [{ kind: "stop", router }],
+    withinMs: 400,
+  },
+  {
+    name: "a restarted holder takes a new epoch",
+    actions: (
+      router,
+    ) => [{ kind: "kill", router }, { kind: "start", router }],
+    withinMs: 1800,
+  },
+];
+
+for (const { name, actions, withinMs } of losses) {
+  test(name, async () => {
+    const { simulation, router } = await region();
+    for (const action of actions(router)) await simulation.run(action);
+    const ms = await takeoverMs(simulation, 10_000);
+    assert.ok(ms !== undefined && ms <= withinMs, `took ${ms} ms`);
+    assert.equal(simulation.holders()[0]?.lease.held()?.epoch, 2);
+    assert.deepEqual(simulation.violations, []);
+    simulation.end();
+  });
+}
+
+test("a holder that was paused past the TTL does not act before it renewed", async () => {
+  const { simulation, holder, router } = await region();
+  // Without others that could take over, only the holder's own rule protects.
+  for (let other = 0; other < 4; other++) {
+    if (other !== router) {
+      await simulation.run({ kind: "cutStore", router: other, on: true });
+    }
+  }
+  await simulation.run({ kind: "pause", router, on: true });
+  await simulation.advance(1300);
+  holder.clock.paused = false;
+  assert.equal(holder.lease.held(), undefined);
+  const written = await holder.lease.writeFenced([], [], signal);
+  assert.equal(written._unsafeUnwrapErr().kind, "not_held");
+  await simulation.advance(1000);
+  assert.equal(holder.lease.held()?.epoch, 1);
+  simulation.end();
+});
+
+test("an outage of the store does not look like a dead holder", async () => {
+  const { simulation, holder } = await region();
+  const { revision } = simulation.store.get(KEY);
+  await simulation.run({ kind: "storeDown", on: true });
+  await simulation.advance(60_000);
+  assert.equal(holder.lease.held()?.epoch, 1, "goes on in the outage");
+  assert.ok(simulation.store.get(KEY).revision - revision <= 1, "no renewal");
+  await simulation.run({ kind: "storeDown", on: false });
+  let gaps = 0;
+  for (let step = 0; step < 300; step++) {
+    await simulation.advance(10);
+    if (holder.lease.held()?.epoch !== 1) gaps += 1;
+  }
+  assert.equal(gaps, 0, "the lease goes on when the store returns");
+  assert.deepEqual(simulation.violations, []);
+  simulation.end();
+});
+
+test("a renewal whose answer was lost is settled by reading back", async () => {
+  let lose = false;
+  const { simulation, holder } = await region({
+    table: (table) => ({
+      readRows: (query, limit) => table.readRows(query, limit),
+      transact: (transaction, limit) =>
+        table.transact(transaction, limit).andThen((outcome) =>
+          lose
+            ? errAsync({ kind: "unknown" as const, message: "lost" })
+            : okAsync(outcome)
+        ),
+    }),
+  });
+  lose = true;
+  await simulation.advance(5000);
+  assert.equal(holder.lease.held()?.epoch, 1);
+  assert.deepEqual(simulation.holders(), [holder]);
+  simulation.end();
+});
+
+test("a fenced write is rejected once another router took over", async () => {
+  const { simulation, holder } = await region();
+  const rows = [{ key: "assignments/sierra/bookings", value: 1 }];
+  const before = holder.lease.held()!;
+  const write = holder.lease.writeFenced(rows, [], signal);
+  // A renewal is due while the write waits, and must not invalidate it.
+  await simulation.advance(600);
+  assert.equal((await write)._unsafeUnwrap().committed, true);
+  assert.ok(holder.lease.held()!.revision > before.revision);
+
+  const lease = simulation.store.get(KEY);
+  simulation.store.apply({
+    conditions: [],
+    writes: [{
+      key: KEY,
+      value: {
+        ...lease.value as object,
+        vm: "vm9",
+        incarnation: "other",
+        epoch: 2,
+        writeId: "other",
+      },
+    }],
+  });
+  const late = holder.lease.writeFenced(rows, [], signal);
+  await simulation.advance(100);
+  assert.equal((await late)._unsafeUnwrap().committed, false);
+  await simulation.advance(400);
+  assert.equal(holder.lease.held(), undefined);
+  simulation.end();
+});
+
+test("a row of a newer schema is not overwritten", async () => {
+  const { simulation } = await region();
+  simulation.store.apply({
+    conditions: [],
+    writes: [{ key: KEY, value: { schema: 2 } }],
+  });
+  await simulation.advance(5000);
+  assert.deepEqual(simulation.store.get(KEY).value, { schema: 2 });
+  assert.deepEqual(simulation.holders(), []);
+  simulation.end();
+});
