--- /dev/null
+++ b/tests/vms/member_registration_test.ts
@@ -0,0 +1,85 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { errAsync, okAsync } from "neverthrow";
+import type { MemberRow } from "../../src/vms/member_row.ts";
+import { RegionSimulation } from "../support/region_simulation.ts";
+
+function rowOf(simulation: RegionSimulation, vm: string) {
+  return simulation.store.get(`members/${vm}`).value as MemberRow | null;
+}
+
+test("the row is written at start and again when witnesses change", async () => {
+  const simulation = new RegionSimulation(3);
+  await simulation.advance(3000);
+  assert.deepEqual(rowOf(simulation, "vm0")?.witnesses, ["vm1", "vm2"]);
+  const { revision } = simulation.store.get("members/vm0");
+  await simulation.advance(10_000);
+  assert.equal(simulation.store.get("members/vm0").revision, revision);
+  await simulation.run({ kind: "stop", router: 1 });
+  await simulation.advance(3000);
+  assert.deepEqual(rowOf(simulation, "vm0")?.witnesses, ["vm2"]);
+  assert.equal(rowOf(simulation, "vm1"), null, "removed at a graceful stop");
+  simulation.end();
+});
+
+test("a restarted witness is named with its new incarnation", async () => {
+  const simulation = new RegionSimulation(3);
+  await simulation.advance(3000);
+  await simulation.run({ kind: "kill", router: 1 });
+  await simulation.run({ kind: "start", router: 1 });
+  await simulation.advance(2000);
+  assert.equal(
+    rowOf(simulation, "vm0")?.witnessIncarnations?.vm1,
+    simulation.routers[1]!.incarnation,
+  );
+  simulation.end();
+});
+
+test("registration waits with back-off while the store is down", async () => {
+  const simulation = new RegionSimulation(1);
+  simulation.store.down = true;
+  await simulation.advance(60_000);
+  const attempts =
+    simulation.store.reads.filter((prefix) => prefix === "members/vm0").length;
+  assert.ok(attempts > 8 && attempts < 20, `${attempts} attempts in 60 s`);
+  simulation.store.down = false;
+  await simulation.advance(6000);
+  assert.equal(
+    rowOf(simulation, "vm0")?.incarnation,
+    simulation.routers[0]!.incarnation,
+  );
+  simulation.end();
+});
+
+test("a registration whose answer was lost is not repeated forever", async () => {
+  let lost = 2;
+  const simulation = new RegionSimulation(1, {
+    table: (table) => ({
+      readRows: (query, signal) => table.readRows(query, signal),
+      transact: (transaction, signal) =>
+        table.transact(transaction, signal).andThen((outcome) =>
+          lost-- > 0
+            ? errAsync({ kind: "unknown" as const, message: "lost" })
+            : okAsync(outcome)
+        ),
+    }),
+  });
+  await simulation.advance(5000);
+  assert.notEqual(simulation.routers[0]!.registration.revision, undefined);
+  simulation.end();
+});
+
+test("a process does not fight a newer one for the row of its VM", async () => {
+  const simulation = new RegionSimulation(2);
+  await simulation.advance(3000);
+  const row = { ...rowOf(simulation, "vm0"), incarnation: "newer" };
+  simulation.store.apply({
+    conditions: [],
+    writes: [{ key: "members/vm0", value: row }],
+  });
+  // The change of witnesses is the occasion to write.
+  await simulation.run({ kind: "stop", router: 1 });
+  await simulation.advance(10_000);
+  assert.equal(rowOf(simulation, "vm0")?.incarnation, "newer");
+  simulation.end();
+});
