--- /dev/null
+++ b/src/cli/add_serve.ts
@@ -0,0 +1,47 @@
+import type { Command } from "commander";
+import { createLogger } from "../base/create_logger.ts";
+import { Daemon } from "../daemon/daemon.ts";
+import { formatDocumentError } from "../settings/format_document_error.ts";
+import { loadSettings } from "../settings/load_settings.ts";
+import type { CliContext } from "./cli_context.ts";
+import { EXIT_CODE } from "./exit_code.ts";
+
+async function serve(file: string, cli: CliContext): Promise<void> {
+  const loaded = await loadSettings(file);
+  if (loaded.isErr()) {
+    cli.err(formatDocumentError(loaded.error));
+    cli.exitCode = EXIT_CODE.usage;
+    return;
+  }
+  const { log, vm, region } = loaded.value;
+  const logger = createLogger({ level: log.level, vm, region });
+  const stop = new AbortController();
+  for (const name of ["SIGTERM", "SIGINT"] as const) {
+    process.on(name, () => stop.abort());
+  }
+  try {
+    await new Daemon(loaded.value, logger).run(stop.signal);
+  } catch (err) {
+    logger.error({ err }, "router cannot run");
+    cli.exitCode = EXIT_CODE.unexpected;
+  }
+  // A socket that a caller never closes must not keep the process alive.
+  process.exit(cli.exitCode);
+}
+
+/**
+ * Adds `serve`, which runs a router until SIGTERM or SIGINT.
+ *
+ * @param parent - the program
+ * @param cli - output and exit code
+ */
+export function addServe(parent: Command, cli: CliContext): void {
+  parent.command("serve")
+    .description("run a router until SIGTERM or SIGINT")
+    .requiredOption("--config <file>", "YAML settings file")
+    .addHelpText(
+      "after",
+      "\nExample:\n  $ fescuerun serve --config /etc/fescuerun/settings.yaml",
+    )
+    .action((opts: { config: string }) => serve(opts.config, cli));
+}
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -10,6 +10,7 @@
 import { addDomainIn } from "./add_domain_in.ts";
 import { addDomainList } from "./add_domain_list.ts";
 import { addDomainOut } from "./add_domain_out.ts";
+import { addServe } from "./add_serve.ts";
 import { addStatus } from "./add_status.ts";
 import { addUpstreamList } from "./add_upstream_list.ts";
 import { addVmIn } from "./add_vm_in.ts";
@@ -46,7 +47,7 @@
     })
     .addHelpText("after", EXIT_CODE_HELP);
 
-  // Commands that run a router, such as `serve`, are added here.
+  addServe(program, cli);
 
   const config = program.command("config").description("settings files");
   addConfigCheck(config, cli);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -8,6 +8,7 @@
 import { PeerListener } from "../links/peer_listener.ts";
 import { rpcServer } from "../links/rpc_server.ts";
 import type { Settings } from "../settings/settings.ts";
+import { AdminListener } from "./admin_listener.ts";
 import { Coordination } from "./coordination.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import { DataPlane } from "./data_plane.ts";
@@ -29,6 +30,7 @@
   readonly #coordination: Coordination;
   readonly #dataPlane: DataPlane;
   readonly #peerListener: PeerListener;
+  readonly #admin: AdminListener;
 
   /**
    * @param cfg - checked settings
@@ -79,11 +81,13 @@
       logger,
       signal: this.#end.signal,
     });
+    this.#admin = new AdminListener(context, this.#membership);
     this.#peerListener = new PeerListener({
       clock: context.clock,
       requests: cfg.requests,
       rpc: (req, res) => void rpc(req, res),
       hop: this.#dataPlane.hop,
+      logger,
     });
   }
 
@@ -98,6 +102,7 @@
     const { cfg, logger, platform } = this.#context;
     await this.#peerListener.listen(cfg.listen.peers);
     await this.#dataPlane.callers.listen(cfg.listen.callers);
+    await this.#admin.listen(cfg.listen.admin);
     logger.info({ listen: cfg.listen }, "router started");
     const tasks = Promise.all([
       this.#membership.run(),
@@ -108,6 +113,7 @@
       if (stop.aborted) resolve();
     });
     await this.#leave();
+    this.#admin.close();
     this.#end.abort();
     await tasks;
     await platform.close();
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,6 +1,9 @@
-import { Command } from "commander";
-import { serveCommand } from "./cli/serve_command.ts";
+import { runCli } from "./cli/run_cli.ts";
 
-const program = new Command("fescuerun").version("0.1.0")
-  .addCommand(serveCommand());
-void program.parseAsync();
+void runCli(process.argv.slice(2), {
+  out: (text) => console.log(text),
+  err: (text) => console.error(text),
+  env: process.env,
+}).then((code) => {
+  process.exitCode = code;
+});
--- a/tests/links/rpc_server_test.ts
+++ b/tests/links/rpc_server_test.ts
@@ -54,7 +54,7 @@
   const handle = rpcServer({
     handlers,
     credential: CREDENTIAL,
-    logger: silentLogger,
+    logger: silentLogger(),
     signal: end.signal,
   });
   let connections = 0;
--- a/tests/vms/store_poller_test.ts
+++ b/tests/vms/store_poller_test.ts
@@ -7,6 +7,7 @@
 import { StorePoller } from "../../src/vms/store_poller.ts";
 import { ManualClock } from "../support/manual_clock.ts";
 import { MemoryTableService } from "../support/memory_table_service.ts";
+import type { Logger } from "../../src/base/logger.ts";
 import { silentLogger } from "../support/silent_logger.ts";
 
 function start() {
@@ -23,9 +24,9 @@
     table: store.client("vm0"),
     clock,
     logger: {
-      ...silentLogger,
+      ...silentLogger(),
       warn: (fields: unknown) => warnings.push(fields),
-    } as unknown as typeof silentLogger,
+    } as unknown as Logger,
     pollMs: 500,
     timeoutMs: 1500,
     views,
--- a/tests/vms/vm_list_poller_test.ts
+++ b/tests/vms/vm_list_poller_test.ts
@@ -26,7 +26,7 @@
           : errAsync({ kind: "unavailable" as const, message: "down" }),
     },
     clock,
-    logger: silentLogger,
+    logger: silentLogger(),
     pollMs: 1000,
   });
   void poller.run(new AbortController().signal);
