--- a/src/regions/wait_for_any.ts
+++ b/src/regions/wait_for_any.ts
@@ -12,13 +12,16 @@
   limit: { ms: number; signal: AbortSignal },
 ): Promise<void> {
   const done = new AbortController();
-  const signal = AbortSignal.any([limit.signal, done.signal]);
+  const end = () => done.abort();
+  if (limit.signal.aborted) return;
+  limit.signal.addEventListener("abort", end, { once: true });
   try {
     await Promise.race([
-      clock.sleep(limit.ms, signal),
-      ...notifiers.map((notifier) => notifier.next(signal)),
+      clock.sleep(limit.ms, done.signal),
+      ...notifiers.map((notifier) => notifier.next(done.signal)),
     ]);
   } finally {
+    limit.signal.removeEventListener("abort", end);
     done.abort();
   }
 }
