--- /dev/null
+++ b/src/limits/region_parts.ts
@@ -0,0 +1,32 @@
+import type { CatalogueDocument } from "../catalogue/catalogue_document.ts";
+import type { Share } from "./share.ts";
+
+/**
+ * Splits the limits of every entry equally over its home regions. Slots that
+ * cannot be divided go to the first regions in catalogue order.
+ *
+ * @param document - the catalogue in force
+ * @param region - one region
+ * @returns the region's part of each entry that is at home there
+ */
+export function regionParts(
+  document: CatalogueDocument,
+  region: string,
+): Map<string, Share> {
+  const parts = new Map<string, Share>();
+  for (
+    const [name, { homeRegions, limits }] of Object.entries(
+      document.entries,
+    )
+  ) {
+    const index = homeRegions.indexOf(region);
+    if (index === -1) continue;
+    const count = homeRegions.length;
+    parts.set(name, {
+      ratePerS: limits.ratePerS / count,
+      concurrency: Math.floor(limits.concurrency / count) +
+        (index < limits.concurrency % count ? 1 : 0),
+    });
+  }
+  return parts;
+}
--- /dev/null
+++ b/src/limits/share.ts
@@ -0,0 +1,2 @@
+/** A part of an entry's limits. */
+export type Share = { ratePerS: number; concurrency: number };
--- a/src/regions/coordinator.ts
+++ b/src/regions/coordinator.ts
@@ -4,6 +4,8 @@
 import type { Logger } from "../base/logger.ts";
 import type { CatalogueView } from "../catalogue/catalogue_view.ts";
 import type { TableService } from "../contracts/table_service.ts";
+import { regionParts } from "../limits/region_parts.ts";
+import type { Share } from "../limits/share.ts";
 import type { RpcHandler } from "../links/rpc_handler.ts";
 import type { AssignmentView } from "../shards/assignment_view.ts";
 import type { ListedVmsView } from "../vms/listed_vms_view.ts";
@@ -210,7 +212,12 @@
     }
     // Checked in the same step as the answer is made: a former holder that
     // wakes up late must not renew a lease.
-    return wanted() ? term.answer(session, clock.now()) : undefined;
+    if (!wanted()) return undefined;
+    const document = this.#deps.catalogue.current?.document;
+    const parts = document === undefined
+      ? new Map<string, Share>()
+      : regionParts(document, this.#deps.region);
+    return term.answer(session, parts, clock.now());
   }
 
   async #wait(
--- a/src/regions/region_term.ts
+++ b/src/regions/region_term.ts
@@ -1,5 +1,7 @@
 import type { CatalogueDocument } from "../catalogue/catalogue_document.ts";
 import type { ListedVm } from "../contracts/listed_vm.ts";
+import type { Share } from "../limits/share.ts";
+import { ShareLedger } from "../limits/share_ledger.ts";
 import type { AssignmentRow } from "../shards/assignment_row.ts";
 import { StragglerTracker } from "../shards/straggler_tracker.ts";
 import { WarmUpTracker } from "../shards/warm_up_tracker.ts";
@@ -42,6 +44,7 @@
   readonly #since: number;
   readonly #ttlMs: number;
   readonly #sessions = new RouterSessions();
+  readonly #shares: ShareLedger;
   readonly #services = new Map<string, ServiceState>();
   readonly #warmUp = new Map<string, WarmUpTracker>();
   readonly #stragglers = new Map<string, StragglerTracker>();
@@ -61,6 +64,7 @@
     this.epoch = opts.lease.epoch;
     this.#since = opts.lease.since;
     this.#ttlMs = opts.dispatchTtlMs;
+    this.#shares = new ShareLedger({ ...opts.lease, ttlMs: this.#ttlMs });
     const known = opts.catalogue === undefined
       ? new Map<string, RegionService>()
       : regionServices(opts.catalogue, opts.region);
@@ -81,6 +85,7 @@
   accept(report: RenewParams, now: number): RouterSession {
     const { session, fresh } = this.#sessions.accept(report, now, this.#ttlMs);
     if (!fresh) return session;
+    this.#shares.accept(report, now);
     for (const state of this.#services.values()) {
       state.accept(report, { epoch: this.epoch, now });
     }
@@ -103,10 +108,15 @@
    * Renews the dispatch lease of a router.
    *
    * @param session - the router process
+   * @param parts - the region's part of each entry's limits
    * @param now - the coordinator's clock
    * @returns the answer to its newest report; must be sent
    */
-  answer(session: RouterSession, now: number): RenewGrant {
+  answer(
+    session: RouterSession,
+    parts: ReadonlyMap<string, Share>,
+    now: number,
+  ): RenewGrant {
     const duties = this.#duties(session);
     const leaseUntil = now + this.#ttlMs;
     session.leaseUntil = leaseUntil;
@@ -123,7 +133,7 @@
       coordinatorEpoch: this.epoch,
       ttlMs: this.#ttlMs,
       ...duties,
-      shares: [],
+      shares: this.#shares.grant(session.report, parts, now),
       rows: this.#newerRows(session.report),
     };
   }
--- a/tests/support/region_chaos.ts
+++ b/tests/support/region_chaos.ts
@@ -23,7 +23,9 @@
     () => {
       const vm = faults.pick(vms);
       world.routers.get(vm)!.process.kill();
-      later(() => world.start(vm));
+      later(() => {
+        if (world.routers.get(vm)!.process.signal.aborted) world.start(vm);
+      });
     },
     () => {
       // A new process while the former one is paused and still holds a lease.
@@ -41,6 +43,15 @@
       peers.cut.add(vm);
       later(() => peers.cut.delete(vm));
     },
+    () => {
+      // A switch of one failure domain fails.
+      const domain = faults.pick(["east", "west"]);
+      const cut = world.vms.filter((vm) =>
+        vm.kind === "entry" && vm.failureDomain === domain
+      );
+      for (const { id } of cut) peers.cut.add(id);
+      later(() => cut.forEach(({ id }) => peers.cut.delete(id)));
+    },
     () => {
       const holder = [...world.routers.values()]
         .find((router) => router.lease.held() !== undefined);
--- a/tests/support/region_lease.ts
+++ b/tests/support/region_lease.ts
@@ -15,8 +15,8 @@
 /** A coordinator lease without witnesses; also knows the present holder. */
 export class RegionLease implements CoordinatorLeaseView, CoordinatorView {
   readonly changed = new ChangeNotifier();
-  /** Adds the fencing condition; a test switches it off. */
-  fenced = true;
+  /** Whether the lease outlasts its TTL, as in an outage with witnesses. */
+  mayContinue = () => false;
   readonly #me: {
     vm: string;
     incarnation: string;
@@ -44,9 +44,11 @@
   }
 
   held(): { epoch: number; since: number } | undefined {
-    if (this.#row === undefined || this.#me.process.now() >= this.#heldUntil) {
+    if (this.#row === undefined || this.#heldUntil === -Infinity) {
       return undefined;
     }
+    const expired = this.#me.process.now() >= this.#heldUntil;
+    if (expired && !this.mayContinue()) return undefined;
     return { epoch: this.#row.row.epoch, since: this.#since };
   }
 
@@ -59,9 +61,7 @@
   ): ResultAsync<TableOutcome, TableError> {
     const key = `coordinators/${this.#me.region}`;
     const revision = this.#row?.revision ?? 0;
-    const conditions = this.fenced
-      ? [...tx.conditions, { key, revision }]
-      : tx.conditions;
+    const conditions = [...tx.conditions, { key, revision }];
     const result = new ResultAsync((async () => {
       const outcome = await this.#table.transact({ ...tx, conditions });
       await this.#me.process.running();
--- a/tests/support/region_table.ts
+++ b/tests/support/region_table.ts
@@ -8,7 +8,7 @@
 import type { RegionFaults } from "./region_faults.ts";
 import type { RegionProcess } from "./region_process.ts";
 
-const LATE_MS = 300;
+const MAX_LATE_MS = 3000;
 
 /** A table service in memory that loses answers and applies writes late. */
 export class RegionTable implements TableService {
@@ -35,7 +35,7 @@
       }
       if (this.#faults.lost()) {
         if (this.#faults.next() < 0.5) this.apply(sent);
-        else void this.#clock.sleep(LATE_MS).then(() => this.apply(sent));
+        else void this.#applyLate(sent);
         return err({ kind: "unknown" as const, message: "answer lost" });
       }
       const outcome = this.apply(sent);
@@ -63,6 +63,11 @@
     })());
   }
 
+  async #applyLate(transaction: TableTransaction): Promise<void> {
+    await this.#clock.sleep(this.#faults.next() * MAX_LATE_MS);
+    this.apply(transaction);
+  }
+
   fail<T>(kind: TableError["kind"]): ResultAsync<T, TableError> {
     return new ResultAsync((async () => {
       await this.#clock.sleep(this.#faults.delayMs());
@@ -87,6 +92,13 @@
         ),
       }));
     if (conflicts.length > 0) return { committed: false, conflicts };
+    for (const { key } of transaction.writes) {
+      const named = new Set(transaction.conditions.map((item) => item.key));
+      const lease = key.replace(/^assignments\/([^/]*).*/, "coordinators/$1");
+      if (!named.has(key) || !named.has(lease)) {
+        throw new Error(`write of ${key} is not fenced`);
+      }
+    }
     this.#revision += 1;
     this.writes += 1;
     for (const { key, value } of transaction.writes) {
--- a/tests/support/region_world.ts
+++ b/tests/support/region_world.ts
@@ -30,7 +30,7 @@
 
 const REGION = "sierra";
 const SHARDS = 24;
-const MAX_RUN_MS = 500;
+const MAX_RUN_MS = 1000;
 const SERVICES = { ledger: true, usage: false };
 const STORE_CONTACT_MS = 1500;
 const STORE_POLL_MS = 500;
@@ -56,8 +56,9 @@
   readonly former: Router[] = [];
   readonly keys: string[] = [];
   hotKeys: RenewReport["hotKeys"] = [];
+  /** Coordinators keep their lease without the store, as with witnesses. */
+  keepLeases = false;
   vms: ListedVm[] = [];
-  fenced = true;
   readonly #catalogue = new CatalogueView();
   readonly #listChanged = new ChangeNotifier();
   #starts = 0;
@@ -173,7 +174,7 @@
       { vm, incarnation, region: REGION, process },
       this.#tableOf(vm, process),
     );
-    lease.fenced = this.fenced;
+    lease.mayContinue = () => this.keepLeases;
     const host = new RegionDispatchHost({
       region: REGION,
       process,
