test(shards): cover the planners and the trackers

Cause: churn, balance, steps of warm-up and the return of slow upstreams need tests. A hot key is not pinned where it would make its target the more loaded upstream.

--- a/src/shards/plan_pins.ts
+++ b/src/shards/plan_pins.ts
@@ -83,7 +83,7 @@
     if (target === undefined || target === owner) continue;
     // Moving the key must not make the target the more loaded one.
     const before = loads.get(owner) ?? Infinity;
-    if ((loads.get(target) ?? 0) + rate >= before) continue;
+    if ((loads.get(target) ?? 0) + rate > before) continue;
     loads.set(owner, before - rate);
     addPin(digest, rate, { pins, loads, accepting });
   }
--- /dev/null
+++ b/tests/shards/plan_pins_test.ts
@@ -0,0 +1,93 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { planPins } from "../../src/shards/plan_pins.ts";
+
+const upstreams = [
+  { id: "a", ratePerS: 200, usable: true, accepting: true },
+  { id: "b", ratePerS: 100, usable: true, accepting: true },
+  { id: "c", ratePerS: 60, usable: true, accepting: true },
+];
+// The mean is 120: pins above 30, unpins below 15.
+const cases: {
+  name: string;
+  pins?: [string, string][];
+  hot?: [string, number][];
+  coolSince?: [string, number][];
+  out?: string;
+  expected: [string, string][];
+}[] = [
+  { name: "a hot key is pinned", hot: [["k", 31]], expected: [["k", "c"]] },
+  { name: "a key at the threshold is not", hot: [["k", 30]], expected: [] },
+  {
+    name: "a key that would overload the target is not",
+    hot: [["k", 150]],
+    expected: [],
+  },
+  {
+    name: "a pinned key stays where it is while it is warm",
+    pins: [["k", "a"]],
+    hot: [["k", 16]],
+    coolSince: [["k", 0]],
+    expected: [["k", "a"]],
+  },
+  {
+    name: "a key that is cool for less than 60 s stays pinned",
+    pins: [["k", "a"]],
+    coolSince: [["k", 40_001]],
+    expected: [["k", "a"]],
+  },
+  {
+    name: "a key that is cool for 60 s is unpinned",
+    pins: [["k", "a"]],
+    hot: [["k", 14]],
+    coolSince: [["k", 40_000]],
+    expected: [],
+  },
+  {
+    name: "a hot key of a lost upstream is pinned elsewhere",
+    pins: [["k", "c"]],
+    hot: [["k", 40]],
+    out: "c",
+    expected: [["k", "b"]],
+  },
+  {
+    name: "a cool key of a lost upstream returns to its shard",
+    pins: [["k", "c"]],
+    out: "c",
+    expected: [],
+  },
+  {
+    name: "a key of another region is not pinned",
+    hot: [["elsewhere", 50]],
+    expected: [],
+  },
+];
+
+for (const { name, pins, hot, coolSince, out, expected } of cases) {
+  test(`pins: ${name}`, () => {
+    const result = planPins({
+      pins: new Map(pins ?? []),
+      hotKeys: (hot ?? []).map(([digest, ratePerS]) => ({ digest, ratePerS })),
+      upstreams: upstreams.map((upstream) => ({
+        ...upstream,
+        usable: upstream.id !== out,
+      })),
+      ownerOf: (digest) => digest === "elsewhere" ? undefined : "a",
+      coolSince: new Map(coolSince ?? []),
+    }, 100_000);
+    assert.deepEqual([...result.pins], expected);
+  });
+}
+
+test("at most 4,096 keys are pinned", () => {
+  const pins = new Map<string, string>();
+  for (let index = 0; index < 4096; index++) pins.set(`k${index}`, "a");
+  const result = planPins({
+    pins,
+    hotKeys: [{ digest: "new", ratePerS: 50 }],
+    upstreams,
+    ownerOf: () => "a",
+    coolSince: new Map(),
+  }, 0);
+  assert.equal(result.pins.size, 4096);
+});
--- a/tests/support/region_dispatch_host.ts
+++ b/tests/support/region_dispatch_host.ts
@@ -35,6 +35,7 @@
   hotKeys: () => RenewReport["hotKeys"];
 };
 
+const BASE_RATE_PER_S = 20;
 const TICK_MS = 20;
 const GRANT_EVERY_MS = 100;
 const GRANT_TTL_MS = 2000;
@@ -80,11 +81,10 @@
         inFlight: tenure.inFlight.length,
         queued: 0,
         serviceMs: 10,
-        ratePerS: 20,
+        ratePerS: this.#hotKeysOf(tenure)
+          .reduce((sum, key) => sum + key.ratePerS, BASE_RATE_PER_S),
       })),
-      hotKeys: this.#deps.hotKeys().filter((key) =>
-        tenures.some((tenure) => tenure.service === key.service)
-      ),
+      hotKeys: tenures.flatMap((tenure) => this.#hotKeysOf(tenure)),
     };
   }
 
@@ -185,6 +185,7 @@
       );
       if (busy) continue;
       release.drained = true;
+      release.confirmed = !tenure.upstream.checksGrants;
       release.grantEndsAt = tenure.grantEndsAt;
       void this.#sendGrant(tenure);
       this.#changed.notify();
@@ -200,7 +201,9 @@
   async #sendGrant(tenure: Tenure): Promise<void> {
     const { process, faults, upstreamOffset } = this.#deps;
     const now = process.now();
-    if (tenure.ended || now >= this.#leaseEndsAt) return;
+    if (
+      tenure.ended || now >= this.#leaseEndsAt || !tenure.upstream.checksGrants
+    ) return;
     const until = Math.min(this.#leaseEndsAt, now + GRANT_TTL_MS);
     tenure.seq += 1;
     const { seq, epoch } = tenure;
@@ -287,6 +290,13 @@
       : { upstream, unit: `shard:${shard}` };
   }
 
+  #hotKeysOf(tenure: Tenure): RenewReport["hotKeys"] {
+    return this.#deps.hotKeys().filter((key) =>
+      key.service === tenure.service &&
+      this.accepts(key.service, key.digest)?.upstream === tenure.upstream.id
+    );
+  }
+
   #reaches(tenure: Tenure): boolean {
     return !this.#deps.unreachable(tenure.upstream);
   }
