--- a/src/upstreams/grant_keeper.ts
+++ b/src/upstreams/grant_keeper.ts
@@ -143,13 +143,12 @@
 
   async #renew(signal: AbortSignal): Promise<boolean> {
     const { address, clock, epoch, grants } = this.#options;
-    const units = this.#options.units();
-    if (clock.now() >= this.#options.leaseEndsAt()) return this.#failed(units);
+    if (clock.now() >= this.#options.leaseEndsAt()) return this.#failed();
     const age = clock.now() - (this.#reading?.receivedAt ?? -Infinity);
     if (age > MAX_READING_AGE_MS) {
       const sentAt = clock.now();
       const read = await this.#call(signal, (s) => grants.read(address, s));
-      if (read?.isOk() !== true) return this.#failed(units);
+      if (read?.isOk() !== true) return this.#failed();
       this.#take(read.value, sentAt);
     }
     const reading = this.#reading;
@@ -159,7 +158,10 @@
     const ttl = Math.min(GRANT_TTL_MS, leaseLeft);
     if (
       reading === undefined || reading.receivedAt + ttl <= sentAt
-    ) return this.#failed(units);
+    ) return this.#failed();
+    // Read after the last wait: a unit that was released during it must not be
+    // granted again.
+    const units = this.#options.units();
     // The upstream read its clock between `sentAt` and `receivedAt`, so the
     // grant ends between these two times plus the TTL.
     const until = reading.receivedAt + ttl;
@@ -167,6 +169,12 @@
       const known = this.#possibleUntil.get(unit) ?? -Infinity;
       this.#possibleUntil.set(unit, Math.max(known, until));
     }
+    // The message may arrive although its answer does not.
+    const certainUntil = reading.sentAt + ttl;
+    this.#confirmed = {
+      units: new Set(units.filter((unit) => this.#confirmed.units.has(unit))),
+      until: Math.min(this.#confirmed.until, certainUntil),
+    };
     const expiresAt = reading.upstreamNow + ttl;
     const seq = this.#options.nextSeq(this.#seqFloor);
     const put = await this.#call(signal, (s) =>
@@ -177,15 +185,15 @@
         units,
         expiresAt,
       }, s));
-    if (put === undefined) return this.#failed(units);
+    if (put === undefined) return this.#failed();
     if (put.isErr()) {
       if (put.error.kind === "superseded") {
-        return this.#superseded(put.error.state, sentAt, units);
+        return this.#superseded(put.error.state, sentAt);
       }
-      return this.#failed(units);
+      return this.#failed();
     }
     const jumped = this.#take(put.value, sentAt);
-    this.#accepted(units, reading.sentAt + ttl, until);
+    this.#accepted(units, certainUntil, until);
     if (jumped) {
       // The upstream restarted: the grant was computed from a clock that no
       // longer exists, and is replaced by one from the new clock.
@@ -206,7 +214,7 @@
     for (const unit of units) this.#possibleUntil.set(unit, possibleUntil);
   }
 
-  #superseded(state: GrantState, sentAt: number, units: Unit[]): boolean {
+  #superseded(state: GrantState, sentAt: number): boolean {
     if (state.epoch > this.#options.epoch) {
       this.#options.logger.warn(
         { address: this.#options.address, epoch: state.epoch },
@@ -218,11 +226,11 @@
     // A repeated or delayed message of this tenure was there first.
     this.#seqFloor = Math.max(this.#seqFloor, state.seq);
     this.#take(state, sentAt);
-    return this.#failed(units);
+    return this.#failed();
   }
 
-  #failed(units: Unit[]): boolean {
-    this.#attempted = new Set(units);
+  #failed(): boolean {
+    this.#attempted = new Set(this.#options.units());
     return false;
   }
 
--- a/tests/support/dispatch_setup.ts
+++ b/tests/support/dispatch_setup.ts
@@ -102,12 +102,10 @@
 
   /** Moves time in small steps, so that the network keeps up, until `done`. */
   async advanceUntil<T>(done: Promise<T>): Promise<T> {
-    let ended = false;
-    void done.finally(() => ended = true);
-    for (;;) {
-      await this.clock.advance(STEP_MS);
-      if (ended) return done;
-    }
+    const progress = { ended: false };
+    void done.finally(() => progress.ended = true);
+    while (!progress.ended) await this.clock.advance(STEP_MS);
+    return done;
   }
 
   /** Adopts an assignment row. */
--- a/tests/upstreams/dispatcher_test.ts
+++ b/tests/upstreams/dispatcher_test.ts
@@ -5,9 +5,9 @@
 
 /** A promise and the function that resolves it. */
 function gate(): { opened: Promise<void>; open: () => void } {
-  let open = () => undefined as void;
-  const opened = new Promise<void>((resolve) => open = resolve);
-  return { opened, open };
+  const gates: (() => void)[] = [];
+  const opened = new Promise<void>((resolve) => gates.push(resolve));
+  return { opened, open: () => gates.forEach((resolve) => resolve()) };
 }
 
 /** Sends requests that the upstream answers when the gate opens. */
@@ -125,8 +125,8 @@
   setup.leaseMs = 100;
   setup.apply();
   // The clock moves without waking anybody.
-  const { now } = setup.clock;
-  setup.clock.now = () => now.call(setup.clock) + 100;
+  const pausedAt = setup.clock.now();
+  setup.clock.now = () => pausedAt + 100;
   assert.equal(await setup.line(), NOT_DISPATCHER);
   assert.deepEqual(setup.pool.collect().tenures, []);
   await setup.end();
--- /dev/null
+++ b/tests/upstreams/grant_keeper_test.ts
@@ -0,0 +1,140 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { GrantKeeper } from "../../src/upstreams/grant_keeper.ts";
+import { ManualClock } from "../support/manual_clock.ts";
+import { SimulatedGrants } from "../support/simulated_grants.ts";
+
+const LEASE_ENDS_AT = 6000;
+const STEP_MS = 50;
+const ALL_UNITS = ["shard:0", "shard:1", "pin:0000000000000000"];
+
+/** A keeper at a simulated upstream; `units` may be changed. */
+function start(
+  leaseEndsAt = LEASE_ENDS_AT,
+  deliveries: SimulatedGrants["deliveries"] = [],
+  clockOffset = 100_000,
+) {
+  const clock = new ManualClock();
+  const grants = new SimulatedGrants(clock);
+  grants.deliveries = [...deliveries];
+  grants.clockOffset = clockOffset;
+  const end = new AbortController();
+  const made = { units: ["shard:0"], superseded: 0, seq: 0 };
+  const superseded = () => made.superseded;
+  const keeper = new GrantKeeper({
+    address: "127.0.0.1:1",
+    dispatcher: "x",
+    epoch: 7,
+    grants,
+    clock,
+    logger: { warn: () => undefined } as never,
+    renewMs: 500,
+    units: () => made.units,
+    leaseEndsAt: () => leaseEndsAt,
+    nextSeq: (above) => made.seq = Math.max(made.seq, above) + 1,
+    onSuperseded: () => made.superseded += 1,
+    onChange: () => undefined,
+  });
+  const done = keeper.run(end.signal);
+  const stop = async () => {
+    end.abort();
+    await done;
+  };
+  return { clock, grants, keeper, made, superseded, stop };
+}
+
+const time = fc.oneof(
+  { weight: 4, arbitrary: fc.integer({ min: 0, max: 50 }) },
+  { weight: 2, arbitrary: fc.integer({ min: 50, max: 3000 }) },
+  { weight: 1, arbitrary: fc.constant(Infinity) },
+);
+const delivery = fc.record({
+  there: time,
+  back: time,
+  again: fc.option(fc.integer({ min: 0, max: 4000 }), { nil: undefined }),
+}).map(({ again, ...rest }) => again === undefined ? rest : { ...rest, again });
+
+// Guards against an upstream that serves a unit after its dispatcher said that
+// it does not, or after the dispatch lease, whatever the network does with the
+// messages in between (section 6.1).
+test("delayed, lost and repeated messages never prolong a grant", async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(delivery, { maxLength: 30 }),
+      fc.array(fc.subarray(ALL_UNITS), { minLength: 12, maxLength: 12 }),
+      fc.integer({ min: 0, max: 1_000_000 }),
+      async (deliveries, unitChanges, clockOffset) => {
+        const { clock, grants, keeper, made, stop } = start(
+          LEASE_ENDS_AT,
+          deliveries,
+          clockOffset,
+        );
+        const gone = new Set<string>();
+        while (clock.now() < LEASE_ENDS_AT + 3000) {
+          if (clock.now() % 500 === 0) {
+            const units = unitChanges[clock.now() / 500];
+            if (units !== undefined) made.units = units;
+            for (const unit of made.units) gone.delete(unit);
+            keeper.changed();
+          }
+          await clock.advance(STEP_MS);
+          for (const unit of ALL_UNITS) {
+            if (!made.units.includes(unit) && keeper.triedWithout(unit)) {
+              if (keeper.remainingMs(unit) === 0) gone.add(unit);
+            }
+            const serves = grants.serves(unit);
+            const when = `${unit} at ${clock.now()}`;
+            assert.ok(!(serves && gone.has(unit)), `${when} is not granted`);
+            assert.ok(serves || !keeper.holds(unit), `${when} is held`);
+            if (clock.now() >= LEASE_ENDS_AT) {
+              assert.ok(!serves, `${when} is past the lease`);
+            }
+          }
+        }
+        await stop();
+      },
+    ),
+    { numRuns: 150 },
+  );
+});
+
+// Guards against a grant that is renewed too late, or after the lease.
+test("a grant is renewed until the lease ends", async () => {
+  const { clock, grants, stop } = start(3000);
+  for (let at = STEP_MS; at < 3000; at += STEP_MS) {
+    await clock.advance(STEP_MS);
+    assert.equal(grants.serves("shard:0"), true, `at ${at}`);
+  }
+  await clock.advance(1000);
+  assert.equal(grants.serves("shard:0"), false);
+  assert.ok(grants.puts.length <= 7, `${grants.puts.length} puts`);
+  await stop();
+});
+
+// Guards against a tenure that gives up because of its own repeated message.
+test("only a later epoch ends the tenure", async () => {
+  const { clock, grants, superseded, stop } = start();
+  await clock.advance(100);
+  grants.held = { ...grants.held, seq: 50 };
+  await clock.advance(1000);
+  assert.equal(superseded(), 0);
+  assert.ok(grants.held.seq > 50);
+  grants.held = { ...grants.held, epoch: 8 };
+  await clock.advance(500);
+  assert.ok(superseded() > 0);
+  await stop();
+});
+
+// Guards against a grant that lasts for hours at an upstream whose clock
+// started again at zero.
+test("a restarted clock is noticed with the next answer", async () => {
+  const { clock, grants, stop } = start(100_000);
+  await clock.advance(100);
+  grants.clockOffset = 0;
+  grants.held = { ...grants.held, epoch: 0, seq: 0, units: [] };
+  await clock.advance(500);
+  const left = grants.held.expiresAt - clock.now();
+  assert.ok(left > 0 && left <= 2000, `${left} ms left`);
+  await stop();
+});
--- /dev/null
+++ b/tests/upstreams/service_time_estimate_test.ts
@@ -0,0 +1,31 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { ServiceTimeEstimate } from "../../src/upstreams/service_time_estimate.ts";
+import { ManualClock } from "../support/manual_clock.ts";
+
+// Guards against an order of samples that loses or keeps the wrong one.
+test("median and p99 are those of the last 128 times", () => {
+  fc.assert(fc.property(
+    fc.array(fc.integer({ min: 0, max: 50 }), { minLength: 1, maxLength: 400 }),
+    (times) => {
+      const estimate = new ServiceTimeEstimate(new ManualClock());
+      for (const ms of times) estimate.add(ms);
+      const sorted = times.slice(-128).sort((a, b) => a - b);
+      const last = sorted.length - 1;
+      assert.equal(estimate.median(), sorted[Math.round(last * 0.5)]);
+      assert.equal(estimate.p99(), sorted[Math.round(last * 0.99)]);
+    },
+  ));
+});
+
+test("old times are forgotten", async () => {
+  const clock = new ManualClock();
+  const estimate = new ServiceTimeEstimate(clock);
+  estimate.add(900);
+  await clock.advance(10_001);
+  estimate.add(10);
+  assert.equal(estimate.p99(), 10);
+  await clock.advance(10_001);
+  assert.equal(estimate.median(), 0);
+});
--- /dev/null
+++ b/tests/upstreams/warm_up_test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Service } from "../../src/catalogue/service.ts";
+import { WarmUp } from "../../src/upstreams/warm_up.ts";
+import { ManualClock } from "../support/manual_clock.ts";
+
+type Report = Parameters<WarmUp["heard"]>[0];
+type Event =
+  | { at: number; heard: Partial<Report> }
+  | { at: number; event: "cold" };
+type Case = {
+  name: string;
+  events: Event[];
+  /** Cold or not, concurrency and rate (Infinity is none) at times. */
+  expect: [number, boolean, number, number][];
+};
+
+const SERVICE = Service.parse({ slots: 4, connections: 8 });
+const MEDIAN_MS = 100;
+const warm = (at: number, askedAt = at, boot = "b1"): Event => ({
+  at,
+  heard: { state: "warm", boot, askedAt },
+});
+
+// Guards against a cold upstream that is taken for a warm one because a report
+// is late or misleading, and against a ramp that never ends.
+const cases: Case[] = [
+  { name: "unknown", events: [], expect: [[10, true, 1, 10]] },
+  {
+    name: "warm at the beginning",
+    events: [warm(0)],
+    expect: [[0, false, 4, Infinity]],
+  },
+  {
+    name: "doubles each second, until all slots are sustained",
+    events: [{ at: 0, heard: { state: "cold" } }, warm(500)],
+    expect: [
+      [1499, true, 1, 10],
+      [1500, true, 2, 20],
+      [2500, false, 4, Infinity],
+    ],
+  },
+  {
+    name: "a report that was asked for before is no proof",
+    events: [warm(0), { at: 1000, event: "cold" }, warm(1100, 900)],
+    expect: [[9000, true, 1, 10]],
+  },
+  {
+    name: "another boot is cold, and a late report of the old one is ignored",
+    events: [warm(0), warm(1000, 1000, "b2"), warm(1010, 1005, "b1")],
+    expect: [[1100, true, 1, 10], [2100, true, 2, 20]],
+  },
+  {
+    name: "cold again during the ramp",
+    events: [
+      { at: 0, event: "cold" },
+      warm(10),
+      { at: 1500, heard: { state: "cold", askedAt: 1400 } },
+    ],
+    expect: [[5000, true, 1, 10]],
+  },
+];
+
+for (const { name, events, expect } of cases) {
+  test(`warm-up: ${name}`, async () => {
+    const clock = new ManualClock();
+    const warmUp = new WarmUp(clock, SERVICE);
+    for (const event of events) {
+      await clock.advance(event.at - clock.now());
+      if ("event" in event) warmUp.becameCold();
+      else {
+        warmUp.heard({
+          state: undefined,
+          boot: undefined,
+          askedAt: event.at,
+          ...event.heard,
+        });
+      }
+    }
+    for (const [at, cold, concurrency, ratePerS] of expect) {
+      await clock.advance(at - clock.now());
+      assert.equal(warmUp.isCold(MEDIAN_MS), cold, `cold at ${at}`);
+      assert.equal(warmUp.concurrency(MEDIAN_MS), concurrency, `at ${at}`);
+      warmUp.started();
+      const wait = warmUp.nextStartAt(MEDIAN_MS) - at;
+      assert.equal(wait, 1000 / ratePerS, `rate at ${at}`);
+    }
+  });
+}
