fix(upstreams): count requests of earlier tenures, announce releases once

Cause: a release or an ended tenure did not wait for requests that an earlier tenure of the same upstream had in flight, a catalogue change to checksGrants needed a new tenure, and each renewed grant woke the renewal task.

--- a/src/upstreams/dispatcher.ts
+++ b/src/upstreams/dispatcher.ts
@@ -77,7 +77,7 @@
 export class Dispatcher {
   readonly epoch: number;
   readonly owned: OwnedUnits;
-  readonly #options: Options;
+  readonly #options: Omit<Options, "predecessor">;
   readonly #clock: Clock;
   readonly #queue = new DispatchQueue<DispatchJob>();
   readonly #running = new Set<DispatchJob>();
@@ -98,18 +98,21 @@
   #mode: Mode = "live";
   #drainingSince: number | undefined;
   #grantedUnits = "";
+  #announced = "";
 
   /**
    * Starts the tenure.
    *
    * @param options - the tenure, and what it depends on
    */
-  constructor(options: Options) {
+  constructor({ predecessor, ...options }: Options) {
     this.#options = options;
     const { address, clock, grants, timing } = options;
     this.epoch = options.epoch;
     this.#clock = clock;
-    this.owned = new OwnedUnits(options);
+    this.owned = predecessor?.epoch === options.epoch
+      ? predecessor.owned
+      : new OwnedUnits(options);
     this.#condition = new UpstreamCondition({
       ...options,
       healthPollMs: timing.healthPollMs,
@@ -123,7 +126,9 @@
     });
     this.#rate = new RateMeter(clock);
     this.#hotKeys = new HotKeySketch(clock);
-    this.#abandoned = new AbandonedRuns(clock);
+    this.#abandoned = predecessor === undefined
+      ? new AbandonedRuns(clock)
+      : predecessor.#abandoned;
     this.#connections = new UpstreamConnections({
       address,
       clock,
@@ -146,8 +151,8 @@
       onSuperseded: options.onSuperseded,
       onChange: () => {
         this.#checkReleases();
+        this.#announceReleased();
         this.#pump();
-        options.onChange();
       },
     });
     this.#timer = new DueTimer({
@@ -155,27 +160,15 @@
       signal: this.#end.signal,
       onDue: () => this.#onDue(),
     });
-    this.#predecessor = options.predecessor;
-    if (this.#predecessor !== undefined) {
-      this.#predecessor.#afterRequest = () => {
-        this.#pump();
-        this.#afterRequest();
-      };
+    this.#predecessor = predecessor;
+    if (predecessor !== undefined) {
+      predecessor.#afterRequest = () => this.#onRequestEnded();
     }
     options.signal.addEventListener("abort", this.#abort, { once: true });
     void this.#condition.run(this.#tenure.signal);
     void this.#keeper?.run(this.#tenure.signal);
   }
 
-  /**
-   * @returns requests at the upstream, with those of earlier tenures
-   */
-  get inFlight(): number {
-    const before = this.#predecessor?.inFlight ?? 0;
-    if (before === 0) this.#predecessor = undefined;
-    return this.#running.size + before;
-  }
-
   /**
    * @returns whether requests are accepted
    */
@@ -194,7 +187,7 @@
    * @returns whether the tenure is handed over and its last request has ended
    */
   get drained(): boolean {
-    return this.#mode === "draining" && this.#running.size === 0;
+    return this.#mode === "draining" && this.#atUpstream().length === 0;
   }
 
   /**
@@ -304,13 +297,9 @@
    */
   takeReleased(): RenewReport["released"] {
     const { service, upstream } = this.#options;
-    return this.owned.releases().flatMap(({ unit, drained }) => {
-      if (!drained) return [];
-      if (this.#keeper !== undefined && !this.#keeper.triedWithout(unit)) {
-        return [];
-      }
+    return this.#released().map(({ unit }) => {
       this.owned.markReported(unit);
-      return [{ service, upstream, unit, readyInMs: this.#readyInMs(unit) }];
+      return { service, upstream, unit, readyInMs: this.#readyInMs(unit) };
     });
   }
 
@@ -469,7 +458,7 @@
 
   #mayStart(): boolean {
     const median = this.#condition.estimate.median();
-    const running = this.inFlight;
+    const running = this.#atUpstream().length;
     if (running >= this.#slots()) return false;
     if (!this.#condition.warmUp.isCold(median)) return true;
     // A request that was given up may still use a cold upstream.
@@ -609,11 +598,28 @@
         until: progress.runEndsAt,
       });
     }
+    this.#onRequestEnded();
+    this.#endWhenIdle();
+  }
+
+  #onRequestEnded(): void {
+    if (this.#mode === "stopped") {
+      this.#afterRequest();
+      return;
+    }
     this.#checkReleases();
     this.#pump();
     this.#afterRequest();
     if (this.drained) this.#options.onChange();
-    this.#endWhenIdle();
+  }
+
+  /** Requests at the upstream, with those of earlier tenures. */
+  #atUpstream(): DispatchJob[] {
+    const before = this.#predecessor === undefined
+      ? []
+      : this.#predecessor.#atUpstream();
+    if (before.length === 0) this.#predecessor = undefined;
+    return [...before, ...this.#running];
   }
 
   #unitsChanged(): void {
@@ -640,12 +646,14 @@
 
   /** Marks releases as drained, and cuts what has taken too long. */
   #checkReleases(): void {
+    // A later tenure of the same epoch shares the releases and decides.
+    if (this.#mode === "stopped") return;
     const now = this.#clock.now();
     const { maxRunMs } = this.#options.cfg();
     let drained = false;
     for (const release of this.owned.releases()) {
       if (release.drained) continue;
-      const jobs = [...this.#running].filter((job) =>
+      const jobs = this.#atUpstream().filter((job) =>
         job.concerns(release.unit)
       );
       if (jobs.length === 0) {
@@ -659,7 +667,24 @@
     }
     if (!drained) return;
     this.#regrant();
-    this.#options.onChange();
+    this.#announceReleased();
+  }
+
+  /** Tells the coordinator at once when another unit can move. */
+  #announceReleased(): void {
+    const ready = this.#released().map(({ unit }) =>
+      this.#readyInMs(unit) === 0 ? `${unit} now` : unit
+    ).join();
+    if (ready === this.#announced) return;
+    this.#announced = ready;
+    if (ready !== "") this.#options.onChange();
+  }
+
+  /** Units that are drained and that the upstream was told to serve no more. */
+  #released(): { unit: Unit }[] {
+    return this.owned.releases().filter(({ unit, drained }) =>
+      drained && this.#keeper?.triedWithout(unit) !== false
+    );
   }
 
   /** Time until nothing at the upstream can serve a released unit any more. */
@@ -696,7 +721,7 @@
       this.#drainingSince !== undefined &&
       now >= this.#drainingSince + this.#options.cfg().maxRunMs
     ) {
-      for (const job of this.#running) {
+      for (const job of this.#atUpstream()) {
         job.exchange?.abandon(new AttemptAbandoned("handed_over"));
       }
     }
--- a/src/upstreams/dispatcher_pool.ts
+++ b/src/upstreams/dispatcher_pool.ts
@@ -37,6 +37,7 @@
   service: string;
   upstream: string;
   address: string;
+  checksGrants: boolean;
   dispatcher: Dispatcher;
   /** Coordinator that was told that the tenure is ended, if one was. */
   endReportedTo: number | undefined;
@@ -218,7 +219,10 @@
     if (known !== undefined) {
       const { epoch } = known.dispatcher;
       if (epoch > tenure.epoch) return;
-      if (epoch === tenure.epoch && known.address === tenure.address) return;
+      if (
+        epoch === tenure.epoch && known.address === tenure.address &&
+        known.checksGrants === this.#checksGrants(tenure.service)
+      ) return;
       this.#stop(key, known);
     }
     const cfg = this.#service(tenure.service);
@@ -243,13 +247,14 @@
       this.#reportChanged.notify();
     };
     const key = tenureKey(service, upstream);
+    const checksGrants = this.#checksGrants(service);
     const dispatcher = new Dispatcher({
       ...this.#options,
       service,
       upstream,
       address,
       epoch,
-      grants: this.#checksGrants(service) ? this.#options.grants : undefined,
+      grants: checksGrants ? this.#options.grants : undefined,
       cfg: () => this.#service(service) ?? cfg,
       leaseEndsAt: () => this.#leaseEndsAt,
       nextGrantSeq: (above) => {
@@ -265,7 +270,14 @@
       },
     });
     this.#options.logger.info({ service, upstream, epoch }, "tenure started");
-    return { service, upstream, address, dispatcher, endReportedTo: undefined };
+    return {
+      service,
+      upstream,
+      address,
+      checksGrants,
+      dispatcher,
+      endReportedTo: undefined,
+    };
   }
 
   #stop(key: string, held: Held): void {
