--- a/tests/upstreams/dispatcher_test.ts
+++ b/tests/upstreams/dispatcher_test.ts
@@ -213,6 +213,48 @@
   await setup.end();
 });
 
+// Guards against a pinned key that moves while its upstream, which checks only
+// that the key's shard is granted, may still run a request for it.
+test("a key leaves a granted shard after its last possible run", async () => {
+  const setup = await DispatchSetup.start({ checksGrants: true });
+  setup.upstream.steps = [{ kind: "silent" }];
+  const caller = new AbortController();
+  const line = setup.line({}, caller.signal);
+  await setup.upstream.arrived(1);
+  caller.abort();
+  await line;
+  setup.release(["pin:0000000000000000", "shard:0"]);
+  await setup.clock.advance(500);
+  const times = setup.pool.collect().released
+    .map(({ unit, readyInMs }) => [unit, readyInMs]);
+  assert.deepEqual(times, [["pin:0000000000000000", 1500], ["shard:0", 0]]);
+  await setup.end();
+});
+
+// Guards against an upstream that gets the requests of two tenures at a time,
+// and against a release that overlooks those of the earlier one.
+test("requests of an earlier tenure count in the next", async () => {
+  const setup = await DispatchSetup.start({ slots: 1 });
+  const { open, lines } = await occupy(setup, 1);
+  setup.row(2, { tenures: { a: { vm: "x", epoch: 8 } } });
+  const [service, upstream] = ["records", "a"];
+  const { address } = setup.upstream;
+  const next = { tenures: [{ service, upstream, address, epoch: 8 }] };
+  setup.apply(next);
+  await setup.clock.advance(0);
+  const line = setup.line({ digest: "0000000100000000" });
+  setup.release(["shard:0"], next);
+  assert.deepEqual(setup.pool.collect().released, []);
+  open();
+  assert.deepEqual(await Promise.all([...lines, line]), [
+    "200 late",
+    "200 done",
+  ]);
+  assert.equal(setup.upstream.mostAtATime, 1);
+  assert.equal(setup.pool.collect().released.length, 1);
+  await setup.end();
+});
+
 // Guards against a tenure that is handed over with requests in flight.
 test("a tenure is reported as ended after its last request", async () => {
   const setup = await DispatchSetup.start();
@@ -362,6 +404,21 @@
   await setup.end();
 });
 
+// Guards against an answer that never ends, and against one that looks complete
+// although it was cut.
+test("an answer is cut at the deadline of its request", async () => {
+  const setup = await DispatchSetup.start();
+  setup.upstream.steps = [{ kind: "silent_in_body" }];
+  const outcome = await setup.send({ deadlineAt: 3000 });
+  assert.ok(outcome.kind === "response");
+  const cut = assert.rejects(text(outcome.body));
+  await setup.clock.advance(2999);
+  assert.equal(outcome.body.destroyed, false);
+  await setup.clock.advance(1);
+  await cut;
+  await setup.end();
+});
+
 // Guards against a stall on a connection that went silent (section 14).
 for (const other of ["a request", "a probe"] as const) {
   test(`a silent connection is closed while ${other} is answered`, async () => {
