feat(entry): bound the attempts of held requests

1,000 requests that each tried again every 50 ms made 20,000 attempts a second, more than a router can send. Held requests now try again at most 500 times a second together, and wake in step with the answers of their upstream.

--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -82,7 +82,11 @@
       const seen = hold.revisionOf(service, job.homeRegions);
       const target = this.#target(job, tried);
       const outcome = await this.#send(job, target, signal);
-      if (outcome.kind === "response") return outcome;
+      const upstream = digest === undefined ? undefined : target?.upstream;
+      if (outcome.kind === "response") {
+        hold.answered(service, upstream);
+        return outcome;
+      }
 
       const { refusal } = outcome;
       const decision = retryDecision(classifyRefusal(refusal), idempotent);
@@ -106,7 +110,14 @@
       if (decision.budget && !budget.take(service)) return end();
       if (wait) {
         const until = holdUntil ?? now;
-        if (!await hold.wait({ ...rows, seen, until, signal })) return end();
+        const waited = await hold.wait({
+          ...rows,
+          seen,
+          upstream,
+          until,
+          signal,
+        });
+        if (!waited) return end();
         tried.clear();
       }
       if (clock.now() >= deadlineAt) return end();
--- a/src/entry/caller_body_stream.ts
+++ b/src/entry/caller_body_stream.ts
@@ -48,7 +48,8 @@
       this.#started = true;
       this.#start();
     }
-    this.#expectData();
+    // The pause counts only while this stream waits for the caller.
+    this.#expiry.at = this.#opts.clock.now() + this.#opts.pauseMs;
     this.#opts.source.resume();
   }
 
@@ -84,11 +85,6 @@
     });
   }
 
-  /** The pause counts only while this stream waits for the caller. */
-  #expectData(): void {
-    this.#expiry.at = this.#opts.clock.now() + this.#opts.pauseMs;
-  }
-
   readonly #onData = (part: Buffer): void => {
     this.#bytes += part.length;
     if (this.#bytes > this.#opts.limit) {
@@ -98,10 +94,10 @@
           `the body is longer than ${this.#opts.limit} bytes`,
         ),
       );
-    } else if (this.push(part)) this.#expectData();
-    else {
-      this.#expiry.at = Number.POSITIVE_INFINITY;
-      this.#opts.source.pause();
+      return;
     }
+    // `_read` is called again when more is wanted.
+    this.#expiry.at = Number.POSITIVE_INFINITY;
+    if (!this.push(part)) this.#opts.source.pause();
   };
 }
--- a/src/entry/retry_decision.ts
+++ b/src/entry/retry_decision.ts
@@ -27,18 +27,10 @@
     case "no_dispatcher":
     case "not_connected":
     case "refused_by_dispatcher":
-      return {
-        retry: "after_hold",
-        budget: false,
-        send: false,
-        report: "not_run",
-      };
     case "queue_full":
-      // Waiting requests would otherwise poll an overloaded upstream's
-      // dispatcher at 20 attempts a second each.
       return {
         retry: "after_hold",
-        budget: true,
+        budget: false,
         send: false,
         report: "not_run",
       };
--- a/tests/entry/attempts_test.ts
+++ b/tests/entry/attempts_test.ts
@@ -245,6 +245,40 @@
   rig.stop();
 });
 
+test("1,000 held requests make at most 500 attempts a second", async () => {
+  const fake = new FakeDispatching(refuse("queue_full"));
+  const { clock, rig, adopt } = setUp(fake);
+  adopt(1);
+  const outcomes = Array.from({ length: 1000 }, () => run(rig));
+  await clock.advance(2100);
+  const before = fake.requests.length;
+  await clock.advance(2000);
+  const attempts = fake.requests.length - before;
+  assert.ok(attempts <= 1100, `${attempts} attempts in 2 s`);
+  assert.ok(attempts >= 900, `${attempts} attempts in 2 s`);
+  await clock.advance(4000);
+  await Promise.all(outcomes);
+  rig.stop();
+});
+
+test("an answer wakes the next two held requests for its upstream", async () => {
+  let full = true;
+  const fake = new FakeDispatching((req, signal) =>
+    full ? refuse("queue_full")(req, signal) : echo()(req, signal)
+  );
+  const { clock, rig, adopt } = setUp(fake);
+  adopt(1);
+  const outcomes = Array.from({ length: 100 }, () => run(rig));
+  await clock.advance(0);
+  full = false;
+  // One answer is enough for the others, which wake each other in turn.
+  await run(rig);
+  const ended = await Promise.all(outcomes);
+  assert.equal(clock.now(), 0);
+  assert.deepEqual([...new Set(ended.map(summary))], ["200"]);
+  rig.stop();
+});
+
 test("a caller that goes away ends the hold", async () => {
   const { rig, adopt } = setUp(new FakeDispatching(refuse("not_owner")));
   adopt(1);
