--- a/dev/deployment/deployment.ts
+++ b/dev/deployment/deployment.ts
@@ -57,6 +57,8 @@
   #platform: ManagedProcess | undefined;
 
   private constructor(private readonly options: Options) {
+    // Each child process has a listener for the end of this one.
+    process.setMaxListeners(0);
     writeFileSync(this.credentialFile, this.#operatorCredential);
     writeFileSync(
       join(this.dir, "peer-credential"),
--- a/dev/deployment/managed_process.ts
+++ b/dev/deployment/managed_process.ts
@@ -30,8 +30,12 @@
     });
     closeSync(log);
     this.#child = child;
+    // A demo or bench that fails must not leave processes behind.
+    const kill = () => child.kill("SIGKILL");
+    process.once("exit", kill);
     this.#ended = new Promise((resolve) => {
       child.on("exit", (code) => {
+        process.off("exit", kill);
         if (this.#child === child) this.#child = undefined;
         resolve(code);
       });
