--- /dev/null
+++ b/tests/regions/region_term_test.ts
@@ -0,0 +1,263 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CatalogueDocument } from "../../src/catalogue/catalogue_document.ts";
+import { RegionTerm } from "../../src/regions/region_term.ts";
+import { AssignmentRow } from "../../src/shards/assignment_row.ts";
+import { regionReport } from "../support/region_report.ts";
+
+const TTL_MS = 2000;
+const MAX_RUN_MS = 700;
+
+function catalogueOf(
+  checksGrants: boolean,
+  homeRegions = ["sierra"],
+): CatalogueDocument {
+  return CatalogueDocument.parse({
+    schema: 1,
+    services: {
+      usage: { shards: 2, slots: 1, connections: 1, maxRunMs: MAX_RUN_MS },
+    },
+    entries: {
+      all: {
+        owner: "owner",
+        class: "batch",
+        service: "usage",
+        match: { pathPrefix: "/" },
+        keySource: { kind: "header", name: "key" },
+        homeRegions,
+        idempotent: true,
+        checksGrants,
+        limits: { ratePerS: 100, concurrency: 10 },
+      },
+    },
+  });
+}
+
+const vms = ["a", "b"].map((id) => ({
+  id,
+  kind: "upstream" as const,
+  address: "10.0.0.1:80",
+  service: "usage",
+  region: "sierra",
+  failureDomain: "east",
+  state: "live" as const,
+}));
+
+function rowOf(changes: Partial<AssignmentRow>): AssignmentRow {
+  return AssignmentRow.parse({
+    schema: 1,
+    service: "usage",
+    region: "sierra",
+    coordinatorEpoch: 1,
+    writeId: "first",
+    upstreams: vms.map(({ id, address, failureDomain }) => ({
+      id,
+      address,
+      failureDomain,
+    })),
+    shards: [0, 1],
+    tenures: { a: { vm: "x", epoch: 3 }, b: { vm: "y", epoch: 4 } },
+    pins: {},
+    ...changes,
+  });
+}
+
+type Run = {
+  term: RegionTerm;
+  plan: (now: number, changes?: {
+    leaving?: string[];
+    foreign?: { revision: number; row: AssignmentRow }[];
+  }) => ReturnType<RegionTerm["plan"]>;
+};
+
+function start(
+  opts: { checksGrants: boolean; row?: AssignmentRow; homeRegions?: string[] },
+): Run {
+  const catalogue = catalogueOf(opts.checksGrants, opts.homeRegions);
+  const term = new RegionTerm({
+    region: "sierra",
+    lease: { epoch: 2, since: 0 },
+    dispatchTtlMs: TTL_MS,
+    rows: opts.row === undefined ? [] : [{ revision: 9, row: opts.row }],
+    catalogue,
+  });
+  let writes = 0;
+  return {
+    term,
+    plan: (now, changes = {}) =>
+      term.plan({
+        now,
+        catalogue,
+        vms: vms.map((vm) =>
+          changes.leaving?.includes(vm.id) === true
+            ? { ...vm, state: "leaving" as const }
+            : vm
+        ),
+        foreign: changes.foreign ?? [],
+        newWriteId: () => `w${++writes}`,
+      }),
+  };
+}
+
+const NO_PARTS = new Map();
+const holds = (upstream: string, epoch: number) => [
+  { service: "usage", upstream, epoch },
+];
+const stateOf = (upstream: string) => [{
+  service: "usage",
+  upstream,
+  state: "warm" as const,
+  inFlight: 0,
+  queued: 0,
+  serviceMs: 1,
+  ratePerS: 1,
+}];
+
+function report(
+  run: Run,
+  vm: string,
+  now: number,
+  changes: Parameters<typeof regionReport>[1],
+) {
+  const session = run.term.accept(regionReport(vm, changes), now);
+  return run.term.answer(session, NO_PARTS, now);
+}
+
+// Guards against a new coordinator that gives away what a silent router of its
+// predecessor may still use.
+for (const checksGrants of [true, false]) {
+  const kind = checksGrants ? "checks grants" : "does not check grants";
+  test(`takeover, service that ${kind}: a silent router keeps its tenure for one TTL`, () => {
+    const run = start({ checksGrants, row: rowOf({}) });
+    report(run, "y", 100, { tenures: holds("b", 4), upstreams: stateOf("b") });
+    assert.deepEqual(run.plan(TTL_MS - 1), []);
+    const [write] = run.plan(TTL_MS);
+    assert.equal(write?.row.tenures.a?.vm, "y");
+    assert.ok(write.row.tenures.a.epoch > 9);
+  });
+}
+
+test("a router that reports another process's tenure missing does not free it", () => {
+  const run = start({ checksGrants: true, row: rowOf({}) });
+  report(run, "y", 100, { tenures: holds("b", 4) });
+  report(run, "x", 100, { incarnation: "restarted" });
+  assert.deepEqual(run.plan(TTL_MS - 1), []);
+});
+
+test("requests of a lost dispatcher end before its shards move", () => {
+  const run = start({ checksGrants: false, row: rowOf({}) });
+  report(run, "y", 1900, { tenures: holds("b", 4), upstreams: stateOf("b") });
+  // The upstream leaves together with its dispatcher.
+  const leaving = ["a"];
+  const at = TTL_MS + MAX_RUN_MS;
+  assert.deepEqual(run.plan(at - 1, { leaving }), []);
+  const [write] = run.plan(at, { leaving });
+  assert.deepEqual(write?.row.shards, [1, 1]);
+});
+
+// Releases and ends that are not to be believed, see ServiceState.accept.
+const released = [
+  { service: "usage", upstream: "a", unit: "shard:0", readyInMs: 0 },
+];
+const reports: {
+  name: string;
+  changes: Parameters<typeof regionReport>[1];
+  moves: boolean;
+}[] = [
+  { name: "a release", changes: {}, moves: true },
+  {
+    name: "a release that was meant for a former coordinator",
+    changes: { coordinatorEpoch: 1 },
+    moves: false,
+  },
+  {
+    name: "a release that was written before the row in force",
+    changes: { rows: { usage: 8 } },
+    moves: false,
+  },
+  {
+    name: "a release in a former tenure",
+    changes: { tenures: holds("a", 2) },
+    moves: false,
+  },
+  {
+    name: "a release of another process",
+    changes: { incarnation: "restarted" },
+    moves: false,
+  },
+  {
+    name: "a release in a report that was overtaken",
+    changes: { seq: 1 },
+    moves: false,
+  },
+  {
+    name: "a release at an upstream that holds its grant for some time",
+    changes: { released: released.map((r) => ({ ...r, readyInMs: 500 })) },
+    moves: false,
+  },
+];
+for (const { name, changes, moves } of reports) {
+  test(`${name} ${moves ? "moves" : "does not move"} a shard`, () => {
+    const run = start({ checksGrants: true, row: rowOf({}) });
+    const x = {
+      tenures: holds("a", 3),
+      upstreams: stateOf("a"),
+      rows: { usage: 9 },
+    };
+    report(run, "x", 2100, { ...x, seq: 2 });
+    report(run, "y", 2100, {
+      tenures: holds("b", 4),
+      upstreams: stateOf("b"),
+    });
+    const leaving = ["a"];
+    assert.deepEqual(run.plan(2200, { leaving }), []);
+    const grant = report(run, "x", 2300, {
+      ...x,
+      seq: 3,
+      coordinatorEpoch: 2,
+    });
+    assert.deepEqual(grant.releases, [
+      { service: "usage", upstream: "a", units: ["shard:0"] },
+    ]);
+    report(run, "x", 2400, {
+      ...x,
+      seq: 4,
+      coordinatorEpoch: 2,
+      released,
+      ...changes,
+    });
+    const writes = run.plan(2401, { leaving });
+    assert.equal(writes[0]?.row.shards[0], moves ? 1 : undefined);
+  });
+}
+
+// Guards against a tenure that is renewed although a write that replaces it may
+// still take effect.
+test("a tenure is not renewed once its replacement may have been written", () => {
+  const run = start({ checksGrants: true, row: rowOf({}) });
+  report(run, "y", 100, { tenures: holds("b", 4) });
+  assert.equal(run.plan(TTL_MS).length, 1);
+  run.term.settled("usage", { gainsBlocked: false });
+  const late = report(run, "x", TTL_MS + 50, { tenures: holds("a", 3) });
+  assert.deepEqual(late.tenures, []);
+});
+
+// Guards against two regions that own a shard after an operator has changed
+// the home regions.
+test("a shard that another region's row holds is not assigned", () => {
+  const homeRegions = ["sierra", "costa"];
+  const run = start({ checksGrants: true, homeRegions });
+  report(run, "x", 100, {});
+  const elsewhere = rowOf({ region: "costa", shards: [0, 1] });
+  const [first] = run.plan(700, { foreign: [{ revision: 5, row: elsewhere }] });
+  assert.deepEqual(first?.row.shards, [-1, -1]);
+  run.term.adopt({ revision: 10, row: first.row }, 700);
+  run.term.settled("usage", { gainsBlocked: false });
+  const given = rowOf({ region: "costa", shards: [-1, 1] });
+  const [second] = run.plan(800, { foreign: [{ revision: 6, row: given }] });
+  assert.equal(second?.row.shards[1], -1);
+  assert.notEqual(second.row.shards[0], -1);
+  assert.deepEqual(second.transaction.conditions.slice(1), [
+    { key: "assignments/costa/usage", revision: 6 },
+  ]);
+});
