--- a/tests/entry/caller_listener_test.ts
+++ b/tests/entry/caller_listener_test.ts
@@ -108,6 +108,42 @@
   }
 });
 
+test("a short body is sent again as a whole", async (t) => {
+  const fake = new FakeDispatching(
+    async (req, signal) => {
+      await FakeDispatching.read(req);
+      return refuse("not_owner")(req, signal);
+    },
+    echo(),
+  );
+  for (const [i, vm] of ["r1", "r2"].entries()) {
+    const rig = await start(t, { local: fake });
+    rig.assignments.adopt(2, testCatalogue.row({ vm }));
+    fake.requests.length = 0;
+    const caller = new RawCaller(rig.port).write(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        `2\r\nab\r\n1\r\n${i}\r\n0\r\n\r\n`,
+    );
+    await caller.until(new RegExp(`\r\nab${i}\r\n0\r\n\r\n$`));
+    assert.equal(fake.requests.length, 2);
+    caller.socket.destroy();
+  }
+});
+
+test("requests for a lost dispatcher wait for the next one", async (t) => {
+  const rig = await start(t);
+  const lost = rig.members.get("r2")!;
+  rig.members.set("r2", { ...lost, peerUrl: "http://127.0.0.1:1" });
+  rig.assignments.adopt(2, testCatalogue.row({ vm: "r2" }));
+  const caller = new RawCaller(rig.port).write(
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+  );
+  while (rig.hold.held === 0) await turns(1);
+  rig.assignments.adopt(3, testCatalogue.row({ vm: "r1" }));
+  await caller.until(/ 200 .*abc/s);
+  caller.socket.destroy();
+});
+
 test("HEAD has no body, and the connection stays usable", async (t) => {
   const body = () => answer(Readable.from([]), { "content-length": "5" });
   const rig = await start(t, { local: new FakeDispatching(body) });
@@ -359,7 +395,9 @@
         });
       })
     );
-    const rig = await start(t, { local: fake });
+    // The deadline, which would cancel as well, never comes.
+    const clock = new ManualClock();
+    const rig = await start(t, { local: fake, clock });
     rig.assignments.adopt(2, testCatalogue.row({ vm }));
     const caller = new RawCaller(rig.port).write(
       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx",
--- a/tests/support/entry_rig.ts
+++ b/tests/support/entry_rig.ts
@@ -1,4 +1,3 @@
-import { ok } from "neverthrow";
 import type { Clock } from "../../src/base/clock.ts";
 import { systemClock } from "../../src/base/system_clock.ts";
 import type { Entry } from "../../src/catalogue/entry.ts";
@@ -9,6 +8,7 @@
 import { HoldQueue } from "../../src/entry/hold_queue.ts";
 import { Router } from "../../src/entry/router.ts";
 import { RetryBudget } from "../../src/limits/retry_budget.ts";
+import { ShareHolder } from "../../src/limits/share_holder.ts";
 import { HopClients } from "../../src/links/hop_clients.ts";
 import { HopServer } from "../../src/links/hop_server.ts";
 import { PeerListener } from "../../src/links/peer_listener.ts";
@@ -88,15 +88,28 @@
       hold: this.hold,
       holdMs: 5000,
     });
+    const shares = new ShareHolder(clock, this.end.signal);
+    shares.apply(
+      [{ entry: "e", ratePerS: 1e6, concurrency: 1e6 }],
+      Number.POSITIVE_INFINITY,
+    );
     const router = new Router({
       clock,
       watch: new ExpiryWatch(clock, this.end.signal),
       contact: { mode: () => this.mode },
       catalogue: testCatalogue.view(entry),
       shares: {
-        admit: () => {
-          this.admitted++;
-          return Promise.resolve(ok({ release: () => this.released++ }));
+        admit: async (name, opts) => {
+          const permit = await shares.admit(name, opts);
+          return permit.map(({ release }) => {
+            this.admitted++;
+            return {
+              release: () => {
+                release();
+                this.released++;
+              },
+            };
+          });
         },
       },
       budget,
