--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -15,6 +15,9 @@
 import { retryDecision } from "./retry_decision.ts";
 
 const MAX_SENDS = 3;
+// Upstreams of a service without keys that are tried without a pause. Trying
+// all would multiply the load on their dispatchers when all queues are full.
+const MAX_TRIED = 3;
 
 type Job = {
   /** The request, except for what depends on the attempt. */
@@ -101,7 +104,7 @@
         !canSendAgain(body)
       ) return end();
       if (target !== undefined) tried.add(target.upstream);
-      const another = digest === undefined &&
+      const another = digest === undefined && tried.size < MAX_TRIED &&
         this.#target(job, tried) !== undefined;
       const wait = decision.retry === "after_hold" && !another;
       const now = clock.now();
@@ -155,10 +158,15 @@
       return await dispatching.dispatch(req, signal);
     }
     const ended = chooser.started(req.service, upstream);
-    const outcome = await dispatching.dispatch(req, signal);
+    const outcome = await dispatching.dispatch(req, signal)
+      .catch((err: unknown) => {
+        ended();
+        throw err;
+      });
     if (outcome.kind === "response") {
       chooser.answered(req.service, upstream, outcome.waitMs);
-      outcome.body.once("close", ended);
+      if (outcome.body.closed) ended();
+      else outcome.body.once("close", ended);
     } else {
       ended();
       const point = classifyRefusal(outcome.refusal);
--- a/tests/entry/attempts_test.ts
+++ b/tests/entry/attempts_test.ts
@@ -368,6 +368,18 @@
     assert.equal(new Set(fake.requests.map((req) => req.upstream)).size, 3);
     rig.stop();
   });
+  await t.test("three without a pause", async () => {
+    const fake = new FakeDispatching(refuse("queue_full"));
+    const { rig, adopt, clock } = setUp(fake);
+    register(rig);
+    adopt(1, { upstreams: ["u1", "u2", "u3", "u4", "u5"] });
+    const outcome = run(rig, { digest: undefined, deadlineAt: 40 });
+    await clock.advance(0);
+    assert.equal(fake.requests.length, 3);
+    await clock.advance(40);
+    assert.equal(summary(await outcome), "deadline_exceeded not_run");
+    rig.stop();
+  });
   await t.test("the only one again after 50 ms", async () => {
     const fake = new FakeDispatching(refuse("queue_full"), echo());
     const { rig, adopt, clock } = setUp(fake);
