fix(limits): give shares at once in a new region, be ready only with shares

Cause: the first coordinator of a region waited one TTL for shares that nobody could hold, and a router was ready before it held any.

--- a/src/daemon/data_plane.ts
+++ b/src/daemon/data_plane.ts
@@ -56,7 +56,7 @@
       clock,
       requests: cfg.requests,
       router,
-      isReady: () => isReady(context, parts.contact),
+      isReady: () => parts.shares.leased && isReady(context, parts.contact),
       readinessDelayMs: cfg.timing.readinessDelayMs,
       logger,
     });
--- a/src/limits/share_holder.ts
+++ b/src/limits/share_holder.ts
@@ -41,6 +41,13 @@
     this.#signal = signal;
   }
 
+  /**
+   * @returns whether shares are held now; without them nothing is admitted
+   */
+  get leased(): boolean {
+    return this.#clock.now() < this.#leaseEndsAt;
+  }
+
   /**
    * Waits for a share for up to 500 ms.
    *
--- a/src/limits/share_ledger.ts
+++ b/src/limits/share_ledger.ts
@@ -21,6 +21,7 @@
 const NOTHING: Share = { ratePerS: 0, concurrency: 0 };
 // Renewals that arrive together are answered from one allocation.
 const ALLOCATE_EVERY_MS = 50;
+const FIRST_EPOCH = 1;
 
 /**
  * Keeps account of the limit shares that routers hold or may hold, so that
@@ -40,7 +41,10 @@
    */
   constructor(term: { epoch: number; since: number; ttlMs: number }) {
     this.#epoch = term.epoch;
-    this.#openFrom = term.since + term.ttlMs;
+    // Before the first coordinator of a region, nobody gave shares.
+    this.#openFrom = term.epoch === FIRST_EPOCH
+      ? term.since
+      : term.since + term.ttlMs;
     this.#ttlMs = term.ttlMs;
   }
 
