--- /dev/null
+++ b/tests/upstreams/upstream_liveness_test.ts
@@ -0,0 +1,75 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { UpstreamLiveness } from "../../src/upstreams/upstream_liveness.ts";
+import { ManualClock } from "../support/manual_clock.ts";
+
+type Step = [at: number, act: (liveness: UpstreamLiveness) => void];
+
+const failed: Step[1] = (liveness) => liveness.connectFailed();
+const connected: Step[1] = (liveness) => liveness.connected();
+const answered: Step[1] = (liveness) => liveness.answered();
+
+// Guards against an upstream that is given up for one short interruption, and
+// against one that is kept although it does not answer (section 6.3).
+const cases: { name: string; steps: Step[]; lost: boolean }[] = [
+  {
+    name: "two failures close by",
+    steps: [[0, failed], [299, failed]],
+    lost: false,
+  },
+  {
+    name: "two failures apart",
+    steps: [[0, failed], [300, failed]],
+    lost: true,
+  },
+  {
+    name: "a connection between two failures",
+    steps: [[0, failed], [100, connected], [300, failed]],
+    lost: false,
+  },
+  {
+    name: "a failed probe without a request before it",
+    steps: [[1000, (liveness) => liveness.probeFailed(0, undefined)]],
+    lost: false,
+  },
+  {
+    name: "a failed probe after an unanswered request",
+    steps: [[1300, (liveness) => liveness.probeFailed(300, 0)]],
+    lost: true,
+  },
+  {
+    name: "a request that was sent during the probe",
+    steps: [[1300, (liveness) => liveness.probeFailed(300, 400)]],
+    lost: false,
+  },
+  {
+    name: "an answer during the probe",
+    steps: [
+      [500, answered],
+      [1300, (liveness) => liveness.probeFailed(300, 0)],
+    ],
+    lost: false,
+  },
+  {
+    name: "an answer after the loss",
+    steps: [[0, failed], [300, failed], [900, answered]],
+    lost: false,
+  },
+  {
+    name: "only a connection after the loss",
+    steps: [[0, failed], [300, failed], [900, connected]],
+    lost: true,
+  },
+];
+
+for (const { name, steps, lost } of cases) {
+  test(`lost or not: ${name}`, async () => {
+    const clock = new ManualClock();
+    const liveness = new UpstreamLiveness(clock);
+    for (const [at, act] of steps) {
+      await clock.advance(at - clock.now());
+      act(liveness);
+    }
+    assert.equal(liveness.lost, lost);
+  });
+}
