--- a/tests/links/hop_client_test.ts
+++ b/tests/links/hop_client_test.ts
@@ -3,6 +3,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { HopClient } from "../../src/links/hop_client.ts";
+import { HopExchange } from "../../src/links/hop_exchange.ts";
 import type { DispatchOutcome } from "../../src/upstreams/dispatch_outcome.ts";
 import type { DispatchRequest } from "../../src/upstreams/dispatch_request.ts";
 import { ManualClock } from "../support/manual_clock.ts";
@@ -153,11 +154,17 @@
     assert.deepEqual(summary(outcome), notRun);
   });
   await t.test("cancelled before it was sent", async (t) => {
-    const { client, received } = await peer(t, () => undefined);
+    const { client, received, server } = await peer(t, () => undefined);
+    const connected = once(server, "connection");
     const end = new AbortController();
     const outcome = client.dispatch(REQUEST, end.signal);
     end.abort();
     assert.deepEqual(summary(await outcome), notRun);
+    // The connection is made nevertheless, but must not be used.
+    await connected;
+    for (let turn = 0; turn < 50; turn++) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
     assert.deepEqual(received, []);
   });
   await t.test("cancelled after it was sent", async (t) => {
@@ -168,6 +175,18 @@
   });
 });
 
+test("a request is never handed to a second connection", () => {
+  const exchange = new HopExchange(() => 0, () => undefined);
+  const aborted: string[] = [];
+  const controller = (name: string) =>
+    ({ abort: () => aborted.push(name) }) as unknown as Parameters<
+      typeof exchange.onRequestStart
+    >[0];
+  exchange.onRequestStart(controller("first"));
+  exchange.onRequestStart(controller("second"));
+  assert.deepEqual(aborted, ["second"]);
+});
+
 test("a connection that goes silent is given up after 1 s", async (t) => {
   const interim = "HTTP/1.1 102 Processing\r\n\r\n";
   const sockets: Socket[] = [];
