--- a/src/upstreams/health_poller.ts
+++ b/src/upstreams/health_poller.ts
@@ -27,6 +27,8 @@
   readonly #options: Options;
   readonly #wake = new ChangeNotifier();
   #nextAllowedAt = -Infinity;
+  /** `-Infinity` while a poll is under way. */
+  #sleepsUntil = -Infinity;
 
   /**
    * @param options - upstream, times, and the receiver of results
@@ -37,7 +39,8 @@
 
   /** The time of the next needed poll may have become earlier. */
   reconsider(): void {
-    this.#wake.notify();
+    // Called with each answer; a later time is found when the sleep ends.
+    if (this.#nextPollAt() < this.#sleepsUntil) this.#wake.notify();
   }
 
   /**
@@ -49,9 +52,10 @@
     const { address, clock, reports } = this.#options;
     const ended = () => signal.aborted;
     while (!ended()) {
-      const at = Math.max(this.#options.neededAt(), this.#nextAllowedAt);
+      const at = this.#nextPollAt();
       const step = new ChildAbort(signal);
       if (at > clock.now()) {
+        this.#sleepsUntil = at;
         await Promise.race([
           this.#wake.next(step.signal),
           at === Infinity
@@ -59,6 +63,7 @@
             : clock.sleep(at - clock.now(), step.signal),
         ]);
         step.abort();
+        this.#sleepsUntil = -Infinity;
         continue;
       }
       const askedAt = clock.now();
@@ -73,4 +78,8 @@
       this.#options.onResult(health, askedAt);
     }
   }
+
+  #nextPollAt(): number {
+    return Math.max(this.#options.neededAt(), this.#nextAllowedAt);
+  }
 }
