--- a/tests/entry/attempts_test.ts
+++ b/tests/entry/attempts_test.ts
@@ -262,15 +262,19 @@
 });
 
 test("an answer wakes the next two held requests for its upstream", async () => {
-  let full = true;
+  let free = 0;
   const fake = new FakeDispatching((req, signal) =>
-    full ? refuse("queue_full")(req, signal) : echo()(req, signal)
+    free-- > 0 ? echo()(req, signal) : refuse("queue_full")(req, signal)
   );
   const { clock, rig, adopt } = setUp(fake);
   adopt(1);
   const outcomes = Array.from({ length: 100 }, () => run(rig));
   await clock.advance(0);
-  full = false;
+  free = 1;
+  await run(rig);
+  await clock.advance(0);
+  assert.equal(fake.requests.length, 100 + 1 + 2);
+  free = 1000;
   // One answer is enough for the others, which wake each other in turn.
   await run(rig);
   const ended = await Promise.all(outcomes);
