--- a/src/base/refusal_code.ts
+++ b/src/base/refusal_code.ts
@@ -11,6 +11,7 @@
   "wrong_region",
   "limit_exceeded",
   "queue_full",
+  "overloaded",
   "upstream_unavailable",
   "router_not_current",
   "draining",
--- a/src/base/refusal_status.ts
+++ b/src/base/refusal_status.ts
@@ -11,6 +11,7 @@
   wrong_region: 421,
   limit_exceeded: 429,
   queue_full: 503,
+  overloaded: 503,
   upstream_unavailable: 503,
   router_not_current: 503,
   draining: 503,
--- a/src/daemon/data_plane.ts
+++ b/src/daemon/data_plane.ts
@@ -3,6 +3,7 @@
 import { UpstreamChooser } from "../entry/choose_upstream.ts";
 import { ExpiryWatch } from "../entry/expiry_watch.ts";
 import { HoldQueue } from "../entry/hold_queue.ts";
+import { OverloadGuard } from "../entry/overload_guard.ts";
 import { Router } from "../entry/router.ts";
 import { RetryBudget } from "../limits/retry_budget.ts";
 import type { ShareHolder } from "../limits/share_holder.ts";
@@ -84,6 +85,7 @@
       clock,
       watch: new ExpiryWatch(clock, signal),
       contact: parts.contact,
+      load: new OverloadGuard(clock, signal),
       catalogue: {
         region: self.region,
         match: (host, path) => index.match(host, path),
--- a/src/entry/classify_refusal.ts
+++ b/src/entry/classify_refusal.ts
@@ -37,6 +37,7 @@
     case "headers_too_large":
     case "wrong_region":
     case "limit_exceeded":
+    case "overloaded":
       return "refused_for_good";
     default:
       return assertNever(refusal.code);
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -23,18 +23,25 @@
   ): Promise<Result<{ release: () => void }, Refusal>>;
 };
 
+const OVERLOADED: Refusal = {
+  code: "overloaded",
+  outcome: "not_run",
+  message: "the router has more requests than it can handle",
+};
+
 /** Takes each caller's request to the dispatcher of an upstream. */
 export class Router {
   readonly #opts: ConstructorParameters<typeof Router>[0];
 
   /**
-   * @param opts - clock, timers, the router's mode and region, the catalogue in force,
-   * the limit shares, the sender of requests, and how bodies are read
+   * @param opts - clock, timers, the router's mode, load and region, the catalogue in
+   * force, the limit shares, the sender of requests, and how bodies are read
    */
   constructor(opts: {
     clock: Clock;
     watch: ExpiryWatch;
     contact: Pick<StoreContactView, "mode">;
+    load: { readonly overloaded: boolean };
     catalogue: Omit<Parameters<typeof checkRequest>[1], "mode">;
     shares: Shares;
     budget: { onRequest(service: string): void };
@@ -58,6 +65,9 @@
     end: AbortController,
   ): Promise<DispatchOutcome> {
     const { clock, contact, catalogue, shares, budget, watch } = this.#opts;
+    if (this.#opts.load.overloaded) {
+      return { kind: "refused", refusal: OVERLOADED };
+    }
     const mode = contact.mode();
     const checked = checkRequest(req, { ...catalogue, mode });
     if (checked.isErr()) return { kind: "refused", refusal: checked.error };
--- a/tests/support/entry_rig.ts
+++ b/tests/support/entry_rig.ts
@@ -94,6 +94,7 @@
       Number.POSITIVE_INFINITY,
     );
     const router = new Router({
+      load: { overloaded: false },
       clock,
       watch: new ExpiryWatch(clock, this.end.signal),
       contact: { mode: () => this.mode },
