fix(regions): plan again at once after a report that arrives during a plan

Cause: a report that arrived in the 5 ms pause after a plan woke nobody, so the next plan could be 100 ms late.

--- a/src/regions/coordinator.ts
+++ b/src/regions/coordinator.ts
@@ -57,6 +57,7 @@
   readonly #news = new ChangeNotifier();
   /** Wakes the planning task. */
   readonly #reports = new ChangeNotifier();
+  #reportCount = 0;
   readonly #writes = new Set<Promise<void>>();
   #term: RegionTerm | undefined;
 
@@ -126,6 +127,7 @@
   async #runTerm(term: RegionTerm, signal: AbortSignal): Promise<void> {
     const { clock, catalogue, lease, listedVms, contact, logger } = this.#deps;
     while (!signal.aborted && this.#holds(term.epoch)) {
+      const planned = this.#reportCount;
       for (const write of this.#plan(term)) {
         const task: Promise<void> = this.#writer
           .write(write, term, {
@@ -135,12 +137,14 @@
           .finally(() => {
             this.#writes.delete(task);
             this.#news.notify();
-            this.#reports.notify();
+            this.#noteReport();
           });
         this.#writes.add(task);
       }
       this.#news.notify();
       await clock.sleep(MIN_PAUSE_MS, signal);
+      // A report that came meanwhile has woken nobody.
+      if (this.#reportCount !== planned) continue;
       const pause = term.nextDeadline(clock.now()) - clock.now();
       await waitForAny(
         [
@@ -191,7 +195,7 @@
       return refusal;
     }
     const session = term.accept(report, clock.now());
-    this.#reports.notify();
+    this.#noteReport();
     const { seq } = report;
     const granted = await this.#answer(term, session, { seq, until, signal });
     return granted ?? refusal;
@@ -230,6 +234,11 @@
     await waitForAny(notifiers, clock, { ms, signal });
   }
 
+  #noteReport(): void {
+    this.#reportCount += 1;
+    this.#reports.notify();
+  }
+
   #mayAnswer(): boolean {
     return this.#term !== undefined && this.#holds(this.#term.epoch) &&
       this.#deps.contact.mode() !== "cut_off";
