feat(regions): tell routers about a new coordinator at once

Cause: routers learned of a takeover with their next store poll, up to 500 ms of the 2 s dispatch lease that they have to renew with the new coordinator.

--- a/src/daemon/coordination.ts
+++ b/src/daemon/coordination.ts
@@ -3,6 +3,7 @@
 import { CoordinatorLease } from "../regions/coordinator_lease.ts";
 import type { CoordinatorLeaseView } from "../regions/coordinator_lease_view.ts";
 import { RenewalTask } from "../regions/renewal_task.ts";
+import { TakeoverNotice } from "../regions/takeover_notice.ts";
 import type { DispatchHost } from "../upstreams/dispatch_host.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import type { Membership } from "./membership.ts";
@@ -24,6 +25,7 @@
 export class Coordination {
   readonly lease: CoordinatorLease;
   readonly coordinator: Coordinator;
+  readonly notice: TakeoverNotice;
   readonly #renewal: RenewalTask;
   readonly #signal: AbortSignal;
   readonly #leaving = new AbortController();
@@ -72,6 +74,13 @@
       renewHoldMs: cfg.timing.renewHoldMs,
       dispatchTtlMs: cfg.timing.dispatchTtlMs,
     });
+    this.notice = new TakeoverNotice({
+      ...self,
+      lease: this.lease,
+      members: views.members,
+      peers: membership.peers,
+      pollNow: () => membership.poller.pollNow(),
+    });
     this.#renewal = new RenewalTask({
       ...self,
       clock,
@@ -98,6 +107,7 @@
     await Promise.all([
       this.lease.run(this.#signal),
       this.coordinator.run(this.#signal),
+      this.notice.run(this.#signal),
       this.#renewing,
     ]);
   }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -76,6 +76,7 @@
       handlers: [
         ...contact.handlers(),
         this.#coordination.coordinator.renewal,
+        this.#coordination.notice.handler,
       ],
       credential: context.peerCredential,
       logger,
