feat(base): list every metric in a typed catalogue, measure more

Cause: only three metrics existed, all of the dispatcher; refusals, held requests, retries, renewals, store contact and moves could not be alarmed on. Change: METRIC_CATALOGUE names each metric with kind, unit and meaning and types the Metrics interface, so that an unlisted name does not compile. Callers' requests, the hold queue, the retry budget and renewals are counted by wrappers; gauges are sampled every 10 s. Conclusion: tags stay service and region; a refusal code is part of the name.

--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -1,23 +1,26 @@
-/** StatsD metrics; names are listed with units in docs/operations.md. */
+import type { MetricName } from "./metric_name.ts";
+import type { MetricTags } from "./metric_tags.ts";
+
+/** StatsD metrics; `METRIC_CATALOGUE` lists them with units. */
 export interface Metrics {
   /**
    * @param name - metric name without the prefix
    * @param value - how much to add
-   * @param tags - service and region only, never a key or path
+   * @param tags - service and region
    */
-  increment(name: string, value: number, tags: Record<string, string>): void;
+  increment(name: MetricName<"counter">, value: number, tags: MetricTags): void;
 
   /**
    * @param name - metric name without the prefix
    * @param value - present value
-   * @param tags - service and region only
+   * @param tags - service and region
    */
-  gauge(name: string, value: number, tags: Record<string, string>): void;
+  gauge(name: MetricName<"gauge">, value: number, tags: MetricTags): void;
 
   /**
    * @param name - metric name without the prefix
    * @param ms - duration in milliseconds
-   * @param tags - service and region only
+   * @param tags - service and region
    */
-  timing(name: string, ms: number, tags: Record<string, string>): void;
+  timing(name: MetricName<"timing">, ms: number, tags: MetricTags): void;
 }
--- a/src/base/statsd_metrics.ts
+++ b/src/base/statsd_metrics.ts
@@ -1,5 +1,7 @@
 import { StatsD } from "hot-shots";
 import type { Logger } from "./logger.ts";
+import type { MetricName } from "./metric_name.ts";
+import type { MetricTags } from "./metric_tags.ts";
 import type { Metrics } from "./metrics.ts";
 
 /** Metrics to a StatsD server over UDP, or nowhere without an address. */
@@ -30,15 +32,19 @@
     });
   }
 
-  increment(name: string, value: number, tags: Record<string, string>): void {
+  increment(
+    name: MetricName<"counter">,
+    value: number,
+    tags: MetricTags,
+  ): void {
     this.#client?.increment(name, value, tags);
   }
 
-  gauge(name: string, value: number, tags: Record<string, string>): void {
+  gauge(name: MetricName<"gauge">, value: number, tags: MetricTags): void {
     this.#client?.gauge(name, value, tags);
   }
 
-  timing(name: string, ms: number, tags: Record<string, string>): void {
+  timing(name: MetricName<"timing">, ms: number, tags: MetricTags): void {
     this.#client?.timing(name, ms, tags);
   }
 
--- a/src/daemon/coordination.ts
+++ b/src/daemon/coordination.ts
@@ -6,6 +6,7 @@
 import type { DispatchHost } from "../upstreams/dispatch_host.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import type { Membership } from "./membership.ts";
+import type { RenewalMetrics } from "./renewal_metrics.ts";
 
 function leaseView(lease: CoordinatorLease): CoordinatorLeaseView {
   return {
@@ -31,7 +32,8 @@
 
   /**
    * @param context - shared parts of the process
-   * @param parts - membership, and the hosts that the dispatch lease feeds
+   * @param parts - membership, the hosts that the dispatch lease feeds, and
+   * what measures renewals
    */
   constructor(
     context: DaemonContext,
@@ -39,10 +41,11 @@
       membership: Membership;
       dispatchers: DispatchHost;
       limits: LimitHost;
+      renewals: RenewalMetrics;
     },
   ) {
     const { cfg, clock, logger, platform, self, views } = context;
-    const { membership, dispatchers, limits } = parts;
+    const { membership, dispatchers, limits, renewals } = parts;
     const { contact, vmList } = membership;
     this.#signal = context.signal;
     this.lease = new CoordinatorLease({
@@ -81,9 +84,9 @@
         get: (region) => views.coordinators.get(region)?.row,
         changed: views.coordinators.changed,
       },
-      peers: membership.peers,
-      dispatchers,
-      limits,
+      peers: renewals.peers(membership.peers),
+      dispatchers: renewals.dispatchers(dispatchers),
+      limits: renewals.limits(limits),
       assignments: views.assignments,
       renewHoldMs: cfg.timing.renewHoldMs,
     });
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -14,6 +14,8 @@
 import { DataPlane } from "./data_plane.ts";
 import { Membership } from "./membership.ts";
 import { PlatformContracts } from "./platform_contracts.ts";
+import { MetricsReporter } from "./metrics_reporter.ts";
+import { RenewalMetrics } from "./renewal_metrics.ts";
 import { Views } from "./views.ts";
 
 /** Longest time for handing over leases and saying goodbye. */
@@ -31,6 +33,7 @@
   readonly #dataPlane: DataPlane;
   readonly #peerListener: PeerListener;
   readonly #admin: AdminListener;
+  readonly #reporter: MetricsReporter;
 
   /**
    * @param cfg - checked settings
@@ -67,10 +70,22 @@
     const { contact } = this.#membership;
     const shares = new ShareHolder(context.clock, this.#end.signal);
     this.#dataPlane = new DataPlane(context, { contact, shares });
+    const renewals = new RenewalMetrics(this.#metrics, cfg.region);
     this.#coordination = new Coordination(context, {
       membership: this.#membership,
       dispatchers: this.#dataPlane.dispatchers,
       limits: shares,
+      renewals,
+    });
+    this.#reporter = new MetricsReporter({
+      clock: context.clock,
+      metrics: this.#metrics,
+      region: cfg.region,
+      contact,
+      lease: this.#coordination.lease,
+      views: context.views,
+      hold: this.#dataPlane.hold,
+      renewals,
     });
     const rpc = rpcServer({
       handlers: [
@@ -107,6 +122,7 @@
     const tasks = Promise.all([
       this.#membership.run(),
       this.#coordination.run(),
+      this.#reporter.run(this.#end.signal),
     ]);
     await new Promise<void>((resolve) => {
       stop.addEventListener("abort", () => resolve(), { once: true });
--- a/src/daemon/data_plane.ts
+++ b/src/daemon/data_plane.ts
@@ -2,9 +2,11 @@
 import { CallerListener } from "../entry/caller_listener.ts";
 import { UpstreamChooser } from "../entry/choose_upstream.ts";
 import { ExpiryWatch } from "../entry/expiry_watch.ts";
-import { HoldQueue } from "../entry/hold_queue.ts";
+import type { HoldQueue } from "../entry/hold_queue.ts";
+import { MeasuredHoldQueue } from "../entry/measured_hold_queue.ts";
+import { MeasuredRouter } from "../entry/measured_router.ts";
 import { Router } from "../entry/router.ts";
-import { RetryBudget } from "../limits/retry_budget.ts";
+import { MeasuredRetryBudget } from "../limits/measured_retry_budget.ts";
 import type { ShareHolder } from "../limits/share_holder.ts";
 import { HopClients } from "../links/hop_clients.ts";
 import { HopServer } from "../links/hop_server.ts";
@@ -18,6 +20,8 @@
   readonly dispatchers: DispatcherPool;
   readonly callers: CallerListener;
   readonly hop: HopServer;
+  /** Requests that wait for a new assignment. */
+  readonly hold: HoldQueue;
 
   /**
    * @param context - shared parts of the process
@@ -51,14 +55,30 @@
       credential: context.peerCredential,
       signal,
     });
+    this.hold = new MeasuredHoldQueue({
+      clock,
+      assignments: views.assignments,
+      limit: cfg.requests.held,
+      metrics,
+      region: self.region,
+    });
     const router = this.#router(context, { ...parts, index });
     this.callers = new CallerListener({
       clock,
       requests: cfg.requests,
-      router,
+      router: new MeasuredRouter({
+        router,
+        clock,
+        metrics,
+        region: self.region,
+      }),
       isReady: () => isReady(context, parts.contact),
       readinessDelayMs: cfg.timing.readinessDelayMs,
       logger,
+      onBroken: (code) => {
+        if (code === undefined) return;
+        metrics.increment(`refused.${code}`, 1, { region: self.region });
+      },
     });
   }
 
@@ -70,10 +90,14 @@
       index: CatalogueIndex;
     },
   ): Router {
-    const { cfg, clock, self, signal, views } = context;
+    const { cfg, clock, metrics, self, signal, views } = context;
     const { members, assignments } = views;
     const { index } = parts;
-    const budget = new RetryBudget(clock);
+    const budget = new MeasuredRetryBudget({
+      clock,
+      metrics,
+      region: self.region,
+    });
     const hops = new HopClients({
       clock,
       members,
@@ -106,7 +130,7 @@
         local: this.dispatchers,
         remote: (vm) => hops.get(vm),
         budget,
-        hold: new HoldQueue({ clock, assignments, limit: cfg.requests.held }),
+        hold: this.hold,
         holdMs: cfg.requests.holdMs,
       }),
       requests: cfg.requests,
--- a/src/entry/caller_listener.ts
+++ b/src/entry/caller_listener.ts
@@ -10,6 +10,7 @@
 import { HOP_HEADER } from "../links/hop_header.ts";
 import { writeAnswer } from "../links/write_answer.ts";
 import { writeRefusal } from "../links/write_refusal.ts";
+import type { RefusalCode } from "../base/refusal_code.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { callerTarget } from "./caller_target.ts";
 import { probeApp } from "./probe_app.ts";
@@ -29,7 +30,8 @@
   /**
    * @param opts - clock, limits on headers, the router, whether the router may
    * be sent requests apart from a drain, the shortest time in milliseconds for
-   * which a drain keeps the listening socket open, and the log
+   * which a drain keeps the listening socket open, the log, and who is told the
+   * refusal code of a request that could not be parsed
    */
   constructor(opts: {
     clock: Clock;
@@ -38,6 +40,7 @@
     isReady: () => boolean;
     readinessDelayMs: number;
     logger: { error(fields: Record<string, unknown>, message: string): void };
+    onBroken?: (code: RefusalCode | undefined) => void;
   }) {
     this.#opts = opts;
     const { maxHeaderBytes, headersTimeoutMs } = opts.requests;
@@ -144,6 +147,6 @@
     if (!socket.writable || socket.destroyed) return;
     // An answer written now would be taken for that of a request in flight.
     if (this.#server.requestsOn(socket) > 0) socket.destroy();
-    else refuseBrokenRequest(socket, err.code);
+    else this.#opts.onBroken?.(refuseBrokenRequest(socket, err.code));
   }
 }
--- a/src/entry/caller_request.ts
+++ b/src/entry/caller_request.ts
@@ -16,4 +16,6 @@
   contentLength: number | undefined;
   /** Called before the body is read, e.g. to send 100 Continue. */
   askForBody: () => void;
+  /** Told the service of the request once its entry is known. */
+  onMatched?: (service: string) => void;
 };
--- a/src/entry/refuse_broken_request.ts
+++ b/src/entry/refuse_broken_request.ts
@@ -27,15 +27,16 @@
  *
  * @param socket - connection without a request in flight
  * @param code - code of the error that Node's server reported
+ * @returns code of the refusal, undefined if the answer has none
  */
 export function refuseBrokenRequest(
   socket: Socket,
   code: string | undefined,
-): void {
+): Refusal["code"] | undefined {
   const refusal = refusalFor(code);
   if (refusal === undefined) {
     socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
-    return;
+    return undefined;
   }
   const requestId = randomUUID();
   const json = JSON.stringify({ ...refusal, requestId, data: {} });
@@ -48,4 +49,5 @@
     "Connection: close",
   ];
   socket.end(`${lines.join("\r\n")}\r\n\r\n${json}`);
+  return refusal.code;
 }
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -62,6 +62,7 @@
     const checked = checkRequest(req, { ...catalogue, mode });
     if (checked.isErr()) return { kind: "refused", refusal: checked.error };
     const { name, entry, service, key } = checked.value;
+    req.onMatched?.(entry.service);
     const deadlineAt = clock.now() + entry.limits.maxRequestMs;
 
     const streaming: { answer?: Readable } = {};
