--- a/src/admin/add_out_routes.ts
+++ b/src/admin/add_out_routes.ts
@@ -51,7 +51,7 @@
         ctx.logger.info(
           {
             code: `${kind}_${direction}`,
-            name: name.data,
+            target: name.data,
             version,
             changed,
             operator,
