--- /dev/null
+++ b/tests/docs/pages_test.ts
@@ -0,0 +1,172 @@
+import assert from "node:assert/strict";
+import type { Command } from "commander";
+import { test } from "node:test";
+import { z } from "zod";
+import { AdminCode } from "../../src/admin/admin_code.ts";
+import { ADMIN_STATUS } from "../../src/admin/admin_status.ts";
+import { AuditRow } from "../../src/admin/audit_row.ts";
+import { METRIC_CATALOGUE } from "../../src/base/metric_catalogue.ts";
+import { RefusalCode } from "../../src/base/refusal_code.ts";
+import { REFUSAL_STATUS } from "../../src/base/refusal_status.ts";
+import { EXIT_CODE } from "../../src/cli/exit_code.ts";
+import { EXIT_CODE_OF } from "../../src/cli/exit_code_of.ts";
+import { createProgram } from "../../src/cli/program.ts";
+import { Settings } from "../../src/settings/settings.ts";
+import { PageTables } from "../support/page_tables.ts";
+
+const operations = new PageTables("operations.md");
+const design = new PageTables("design.md");
+
+/** Compares as sorted lists, so that a difference names its entries. */
+function assertSame(
+  page: Iterable<readonly unknown[]>,
+  code: Iterable<readonly unknown[]>,
+): void {
+  const sort = (rows: Iterable<readonly unknown[]>) =>
+    [...rows].map((row) => row.join(" | ")).sort();
+  assert.deepEqual(sort(page), sort(code));
+}
+
+/** Path and default of each setting, as the page shows them. */
+function settingsOf(schema: z.core.$ZodType, path: string): string[][] {
+  if (schema instanceof z.ZodDefault) {
+    const { defaultValue } = schema.def;
+    const shown = typeof defaultValue === "string"
+      ? defaultValue
+      : JSON.stringify(defaultValue);
+    const inner = schema.def.innerType;
+    return [
+      [path, shown],
+      ...inner instanceof z.ZodArray
+        ? settingsOf(inner.element, `${path}[]`)
+        : [],
+    ];
+  }
+  if (schema instanceof z.ZodPrefault) {
+    return settingsOf(schema.def.innerType, path);
+  }
+  if (schema instanceof z.ZodOptional) return [[path, "none"]];
+  if (schema instanceof z.ZodObject) {
+    return Object.entries(schema.shape as Record<string, z.core.$ZodType>)
+      .flatMap(([name, field]) =>
+        settingsOf(field, path === "" ? name : `${path}.${name}`)
+      );
+  }
+  return [[path, "required"]];
+}
+
+test("guards: a setting or its default is not as documented", () => {
+  const rows = operations.rows("Settings");
+  assertSame(
+    [...rows].map(([path, [preset]]) => [path, preset]),
+    settingsOf(Settings, ""),
+  );
+});
+
+test("guards: a metric, its kind or its unit is not as documented", () => {
+  const rows = [...operations.rows("Metrics")].flatMap(([name, cells]) =>
+    name === "refused.<code>"
+      ? RefusalCode.options.map((code) => [`refused.${code}`, ...cells])
+      : [[name, ...cells]]
+  );
+  assertSame(
+    rows.map(([name, kind, unit]) => [name, kind, unit]),
+    Object.entries(METRIC_CATALOGUE).map((
+      [name, { kind, unit }],
+    ) => [name, kind, unit]),
+  );
+  for (const [name, , , meaning, alarm] of rows) {
+    assert.ok(meaning !== "" && alarm !== "", name);
+  }
+});
+
+test("guards: a refusal code or its status is not as documented", () => {
+  const expected = Object.entries(REFUSAL_STATUS);
+  const rows = operations.rows("Refusal codes");
+  assertSame([...rows].map(([code, [status]]) => [code, status]), expected);
+  for (const [code, cells] of rows) {
+    assert.match(cells[1] ?? "", /^(not_run|outcome_unknown|either)$/, code);
+    assert.ok(cells.length === 4 && cells.every((cell) => cell !== ""), code);
+  }
+  const inDesign = design.section("20. Refusal codes")
+    .matchAll(/`([a-z_]+)`\s+(\d{3})/g);
+  assertSame([...inDesign].map(([, code, status]) => [code, status]), expected);
+});
+
+test("guards: an administration code, status or exit code is undocumented", () => {
+  assertSame(
+    [...operations.rows("Codes of the administration interface")].map((
+      [code, [status, exit]],
+    ) => [code, status, exit]),
+    AdminCode.options.map((
+      code,
+    ) => [code, ADMIN_STATUS[code], EXIT_CODE_OF[code]]),
+  );
+});
+
+test("guards: an exit code is not as documented", () => {
+  assertSame(
+    [...operations.rows("Exit codes")].map(([code, [name]]) => [code, name]),
+    Object.entries(EXIT_CODE).map(([name, code]) => [code, name]),
+  );
+  const help = createProgram({
+    out: () => undefined,
+    err: () => undefined,
+    env: {},
+    exitCode: 0,
+  });
+  let text = "";
+  help.configureOutput({ writeOut: (part) => text += part }).outputHelp();
+  const inHelp = [...text.matchAll(/^ {2}(\d) {2}\S/gm)];
+  assertSame(
+    inHelp.map(([, code]) => [code]),
+    Object.values(EXIT_CODE).map((code) => [code]),
+  );
+});
+
+test("guards: an outcome of audit records is not documented", () => {
+  const [, outcomes = ""] = operations.section("Audit records")
+    .split("| outcome |");
+  assertSame(
+    [...outcomes.matchAll(/^\| `(\w+)` \|/gm)].map(([, name]) => [name]),
+    AuditRow.shape.outcome.options.map((name) => [name]),
+  );
+});
+
+const COMMON = new Set(["--json", "--admin", "--credential-file"]);
+
+/** Usage, own options, and whether the common ones are there. */
+function commandsOf(command: Command, prefix: string): string[][] {
+  return command.commands.flatMap((sub) => {
+    const name = `${prefix}${sub.name()}`;
+    if (sub.commands.length > 0) return commandsOf(sub, `${name} `);
+    const args = sub.registeredArguments.map((arg) => ` <${arg.name()}>`);
+    const own = sub.options.filter(({ long }) => !COMMON.has(long ?? ""));
+    return [[
+      name + args.join(""),
+      own.map(({ flags }) => flags).sort().join(" "),
+    ]];
+  });
+}
+
+test("guards: a command or option is not as documented", () => {
+  const [, ...parts] = operations.section("Commands").split("\n### `");
+  const page = parts.map((part) => {
+    const options = /^Options: (.*?)\n\n/ms.exec(part)?.[1] ?? "";
+    const flags = [...options.matchAll(/`(--[^`]+)`/g)].map(([, flag]) => flag);
+    return [part.slice(0, part.indexOf("`")), flags.sort().join(" ")];
+  });
+  const program = createProgram({
+    out: () => undefined,
+    err: () => undefined,
+    env: {},
+    exitCode: 0,
+  });
+  assertSame(page, commandsOf(program, ""));
+  const common = (operations.section("Commands").split("\n### `")[0] ?? "")
+    .matchAll(/`(--[a-z-]+)/g);
+  assertSame(
+    [...new Set([...common].map(([, flag]) => flag))].map((flag) => [flag]),
+    [...COMMON, "--help"].map((flag) => [flag]),
+  );
+});
