refactor(catalogue): decide in one place who is not serving

Cause: src/catalogue/is_not_serving.ts and src/vms/is_provably_not_serving.ts decided the same with different conditions. The acceptance used the first, which counted a witness of any incarnation; the simulation used the second.

Change: one function with the stricter condition of each, used by both. A member that is current with an older version 2.5 s after the commit cannot parse the version and never counts as not serving.

Conclusion: the simulation now checks the rule that the routers use.

--- a/src/catalogue/acceptance_member.ts
+++ b/src/catalogue/acceptance_member.ts
@@ -4,7 +4,10 @@
   /** Undefined when the member's row could not be understood. */
   reachable: {
     peerUrl: string;
+    incarnation: string;
     /** VMs that vouch for a store outage of the member. */
     witnesses: readonly string[];
+    /** Incarnation of each witness; one without it proves nothing. */
+    witnessIncarnations?: Readonly<Record<string, string>> | undefined;
   } | undefined;
 };
--- a/src/catalogue/acceptance_watch.ts
+++ b/src/catalogue/acceptance_watch.ts
@@ -1,5 +1,6 @@
 import { ChangeNotifier } from "../base/change_notifier.ts";
 import type { Clock } from "../base/clock.ts";
+import type { CatalogueStatus } from "../vms/catalogue_status.ts";
 import type { AcceptanceMember } from "./acceptance_member.ts";
 import type { CatalogueMembers } from "./catalogue_members.ts";
 import { TaskLimit } from "./task_limit.ts";
@@ -23,9 +24,14 @@
   readonly #limit = new TaskLimit(CALLS_AT_A_TIME);
   readonly #tasks = new Map<string, Promise<void>>();
   readonly #members = new Map<string, AcceptanceMember>();
-  readonly #confirmed = new Set<string>();
+  /** Incarnation of each member that has confirmed. */
+  readonly #confirmed = new Map<string, string>();
   /** When a member last said that it serves an older version. */
   readonly #servedOlderAt = new Map<string, number>();
+  readonly #currentWithOlder = new Map<
+    string,
+    { at: number; incarnation: string }
+  >();
 
   /**
    * @param options - `version` to wait for, `members` to ask, `clock`, and
@@ -52,18 +58,28 @@
 
   /**
    * @param vm - a member
+   * @param incarnation - the process that is meant, any by default
    * @returns whether it has put the version, or a newer one, in force
    */
-  isConfirmed(vm: string): boolean {
-    return this.#confirmed.has(vm);
+  isConfirmed(vm: string, incarnation?: string): boolean {
+    const confirmed = this.#confirmed.get(vm);
+    return confirmed !== undefined &&
+      (incarnation === undefined || incarnation === confirmed);
   }
 
   /**
    * @param vm - a member
-   * @returns when it last said that it serves an older version, if it did
+   * @returns when it last said that it serves an older version, and its last
+   * answer that it does so as `current`
    */
-  servedOlderAt(vm: string): number | undefined {
-    return this.#servedOlderAt.get(vm);
+  older(vm: string): {
+    servedOlderAt: number | undefined;
+    currentWithOlder: { at: number; incarnation: string } | undefined;
+  } {
+    return {
+      servedOlderAt: this.#servedOlderAt.get(vm),
+      currentWithOlder: this.#currentWithOlder.get(vm),
+    };
   }
 
   /** Resolves when all tasks have ended, after the signal has aborted. */
@@ -84,18 +100,23 @@
           notified = true;
           return await members.status(peerUrl, version, signal);
         });
-        if (status?.vm === vm) this.#note(vm, status.version, status.mode);
+        if (status?.vm === vm) this.#note(status);
       }
       if (!this.#confirmed.has(vm)) await clock.sleep(ASK_PAUSE_MS, signal);
     }
   }
 
-  #note(vm: string, version: number, mode: string): void {
-    if (version >= this.#options.version) {
-      this.#confirmed.add(vm);
+  #note(status: CatalogueStatus): void {
+    const { vm, incarnation, mode } = status;
+    const at = this.#options.clock.now();
+    if (status.version >= this.#options.version) {
+      this.#confirmed.set(vm, incarnation);
       this.changed.notify();
     } else if (mode === "current" || mode === "outage") {
-      this.#servedOlderAt.set(vm, this.#options.clock.now());
+      this.#servedOlderAt.set(vm, at);
+      if (mode === "current") {
+        this.#currentWithOlder.set(vm, { at, incarnation });
+      }
     }
   }
 }
--- a/src/catalogue/await_acceptance.ts
+++ b/src/catalogue/await_acceptance.ts
@@ -73,8 +73,8 @@
           now,
           startedAt,
           listedAt,
-          servedOlderAt: watch.servedOlderAt(member.vm),
-          isConfirmed: (vm) => watch.isConfirmed(vm),
+          ...watch.older(member.vm),
+          isConfirmed: (vm, incarnation) => watch.isConfirmed(vm, incarnation),
         })
       ).map(({ vm }) => vm);
       const vms = open?.map(({ vm }) => vm)
--- a/src/catalogue/is_not_serving.ts
+++ b/src/catalogue/is_not_serving.ts
@@ -12,7 +12,10 @@
   listedAt: number;
   /** When the member last said that it serves an older version. */
   servedOlderAt: number | undefined;
-  isConfirmed: (vm: string) => boolean;
+  /** Its last answer that it does so as `current`. */
+  currentWithOlder: { at: number; incarnation: string } | undefined;
+  /** Whether this process of the VM has confirmed the version. */
+  isConfirmed: (vm: string, incarnation: string) => boolean;
 };
 
 /**
@@ -26,13 +29,27 @@
  * @returns whether the member counts as not serving
  */
 export function isNotServing(evidence: Evidence): boolean {
-  const { member, now, startedAt, listedAt, servedOlderAt } = evidence;
-  const silentSince = servedOlderAt ?? startedAt;
+  const { member, now, startedAt, listedAt, currentWithOlder } = evidence;
+  const silentSince = evidence.servedOlderAt ?? startedAt;
   // A row from before that time could name other witnesses than are in use.
   if (now - silentSince < SILENT_MS || listedAt - startedAt < SILENT_MS) {
     return false;
   }
-  const witnesses = member.reachable?.witnesses;
-  return witnesses !== undefined &&
-    (witnesses.length === 0 || witnesses.some(evidence.isConfirmed));
+  const { reachable } = member;
+  if (reachable === undefined) return false;
+  // Contact that late has read the version: the member cannot parse it (for
+  // example a newer schema) and goes on with the older one.
+  if (
+    currentWithOlder !== undefined &&
+    currentWithOlder.at - startedAt >= SILENT_MS &&
+    currentWithOlder.incarnation === reachable.incarnation
+  ) return false;
+  // A witness that restarted since says nothing about the member, which may
+  // have left it out after its farewell.
+  return reachable.witnesses.length === 0 ||
+    reachable.witnesses.some((vm) => {
+      const incarnation = reachable.witnessIncarnations?.[vm];
+      return incarnation !== undefined &&
+        evidence.isConfirmed(vm, incarnation);
+    });
 }
--- a/src/catalogue/peer_catalogue_members.ts
+++ b/src/catalogue/peer_catalogue_members.ts
@@ -15,8 +15,10 @@
 /** Rows of newer schemas count as long as these fields mean the same. */
 const ReadableMember = MemberRow.pick({
   vm: true,
+  incarnation: true,
   peerUrl: true,
   witnesses: true,
+  witnessIncarnations: true,
 });
 
 /** Reaches members through the table service and the peer listeners. */
--- a/tests/catalogue/await_acceptance_test.ts
+++ b/tests/catalogue/await_acceptance_test.ts
@@ -74,7 +74,20 @@
     between: [2500, 3600],
   },
   {
-    guards: "silence counts from the last sign of serving the old version",
+    guards: "a witness that restarted since the row was written proves nothing",
+    members: [
+      ["a", { version: 2 }],
+      ["b", {
+        version: undefined,
+        witnesses: ["a"],
+        witnessIncarnation: "0",
+      }],
+    ],
+    expected: "committed_not_yet_in_force b",
+    between: [10_000, 10_200],
+  },
+  {
+    guards: "a member that cannot parse the version serves the old one",
     members: [
       ["a", { version: 2 }],
       ["b", { version: 1, witnesses: ["a"] }],
@@ -84,6 +97,20 @@
       ({ members }) =>
         members.set("b", { version: undefined, witnesses: ["a"] }),
     ]],
+    expected: "committed_not_yet_in_force b",
+    between: [10_000, 10_200],
+  },
+  {
+    guards: "silence counts from the last sign of serving the old version",
+    members: [
+      ["a", { version: 2 }],
+      ["b", { version: 1, mode: "outage", witnesses: ["a"] }],
+    ],
+    later: [[
+      3000,
+      ({ members }) =>
+        members.set("b", { version: undefined, witnesses: ["a"] }),
+    ]],
     expected: "accepted not serving b",
     between: [5400, 5800],
   },
--- a/tests/support/fake_catalogue_members.ts
+++ b/tests/support/fake_catalogue_members.ts
@@ -9,6 +9,8 @@
   version: number | undefined;
   mode?: CatalogueStatus["mode"];
   witnesses?: string[];
+  /** Incarnation of all witnesses as the row names it. */
+  witnessIncarnation?: string;
   /** The row cannot be understood. */
   unreadable?: boolean;
 };
@@ -25,9 +27,17 @@
     return okAsync(
       [...this.members].map(([vm, member]) => ({
         vm,
-        reachable: member.unreadable === true
-          ? undefined
-          : { peerUrl: vm, witnesses: member.witnesses ?? [] },
+        reachable: member.unreadable === true ? undefined : {
+          peerUrl: vm,
+          incarnation: "1",
+          witnesses: member.witnesses ?? [],
+          witnessIncarnations: Object.fromEntries(
+            (member.witnesses ?? []).map((witness) => [
+              witness,
+              member.witnessIncarnation ?? "1",
+            ]),
+          ),
+        },
       })),
     );
   }
--- a/tests/support/region_simulation.ts
+++ b/tests/support/region_simulation.ts
@@ -1,7 +1,7 @@
 import { okAsync } from "neverthrow";
 import type { ListedVm } from "../../src/contracts/listed_vm.ts";
 import type { TableService } from "../../src/contracts/table_service.ts";
-import { isProvablyNotServing } from "../../src/vms/is_provably_not_serving.ts";
+import { isNotServing } from "../../src/catalogue/is_not_serving.ts";
 import { MemberRow } from "../../src/vms/member_row.ts";
 import type { StoreContact } from "../../src/vms/store_contact.ts";
 import { ManualClock } from "./manual_clock.ts";
@@ -52,6 +52,7 @@
   #version = 0;
   #committedAt = 0;
   #accepted = 0;
+  readonly #servedOlderAt = new Map<string, number>();
   #acceptedAt = 0;
 
   constructor(size: number, rules: Rules = {}) {
@@ -221,6 +222,7 @@
     // As by a router that reaches the store.
     if (this.store.down || this.#accepted < this.#version) return;
     this.#version += 1;
+    this.#servedOlderAt.clear();
     this.#committedAt = this.clock.now();
     this.store.apply({
       conditions: [],
@@ -277,6 +279,11 @@
     const statuses = this.routers
       .filter((router) => router.alive && !router.clock.paused)
       .map((router) => router.contact.status());
+    for (const status of statuses) {
+      const { vm, version, mode } = status;
+      if (version >= this.#version || mode === "cut_off") continue;
+      this.#servedOlderAt.set(vm, this.clock.now());
+    }
     const members = this.store.keys()
       .filter((key) => key.startsWith("members/"))
       .map((key) => MemberRow.parse(this.store.get(key).value));
@@ -285,11 +292,18 @@
         status.vm === member.vm && status.incarnation === member.incarnation &&
         status.version >= this.#version
       ) ||
-      isProvablyNotServing({
-        member,
-        version: this.#version,
-        statuses,
-        unconfirmedMs: this.clock.now() - this.#committedAt,
+      isNotServing({
+        member: { vm: member.vm, reachable: member },
+        now: this.clock.now(),
+        startedAt: this.#committedAt,
+        listedAt: this.clock.now(),
+        servedOlderAt: this.#servedOlderAt.get(member.vm),
+        currentWithOlder: undefined,
+        isConfirmed: (vm, incarnation) =>
+          statuses.some((status) =>
+            status.vm === vm && status.incarnation === incarnation &&
+            status.version >= this.#version
+          ),
       })
     );
     if (!isAccepted) return;
