--- a/src/regions/coordinator.ts
+++ b/src/regions/coordinator.ts
@@ -76,6 +76,7 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     const { lease } = this.#deps;
+    let last: RegionTerm | undefined;
     while (!signal.aborted) {
       const held = lease.held();
       if (held === undefined) {
@@ -85,8 +86,13 @@
         });
         continue;
       }
-      const term = await this.#startTerm(held, signal);
+      // A lease that returns with the same epoch has had no other holder, so
+      // the term goes on. Rows could not be read again during an outage.
+      const term = last?.epoch === held.epoch
+        ? last
+        : await this.#startTerm(held, signal);
       if (term === undefined) continue;
+      last = term;
       this.#term = term;
       this.#news.notify();
       await this.#runTerm(term, signal);
