--- a/dev/bench/loss.ts
+++ b/dev/bench/loss.ts
@@ -6,6 +6,7 @@
 import { addCounts } from "./add_counts.ts";
 import type { Bench } from "./bench.ts";
 import type { BenchReport } from "./bench_report.ts";
+import { countCodes } from "./count_codes.ts";
 import { LoadGenerator } from "./load_generator.ts";
 import { pushFigures } from "./push_figures.ts";
 import { readUpstreams } from "./read_upstreams.ts";
@@ -99,6 +100,7 @@
     const viaLive = results.filter(({ url }) => !lost.includes(url));
     return {
       unavailable: unavailableMs(viaLive, at),
+      codes: countCodes(viaLive),
       failed: viaLive.filter(({ status }) => status !== 200).length,
       violations: countViolations({
         results,
@@ -123,6 +125,7 @@
       violations: {},
       notes: ["no link delay is added between the processes"],
     };
+    const codesOfLoss: Record<string, Record<string, number>> = {};
     for (let repetition = 0; repetition < repetitions; repetition += 1) {
       for (const loss of LOSSES) {
         const run = await runOnce(loss, seed + repetition);
@@ -131,6 +134,7 @@
           failed: run.failed,
         });
         addCounts(report.violations, run.violations);
+        addCounts(codesOfLoss[loss] ??= {}, run.codes);
       }
     }
     for (const [loss, figures] of Object.entries(report.arms)) {
@@ -141,6 +145,7 @@
         ok: worst <= BOUND_MS,
       });
     }
+    report.notes.push(JSON.stringify(codesOfLoss));
     return report;
   },
 };
--- a/dev/bench/violations.ts
+++ b/dev/bench/violations.ts
@@ -54,6 +54,7 @@
       effects.set(id, (effects.get(id) ?? 0) + 1);
     }
   }
+  const known = new Set(run.upstreams.map(({ id }) => id));
   const count = (test: (result: CallResult) => boolean) =>
     run.results.filter(test).length;
   return {
@@ -65,7 +66,10 @@
       outcome === "not_run" && effects.has(id)
     ),
     foreignAnswers: count(({ foreign }) => foreign),
-    lostEffects: count(({ id, status }) => status === 200 && !effects.has(id)),
+    // An upstream that was killed took its journal with it.
+    lostEffects: count(({ id, status, servedBy }) =>
+      status === 200 && known.has(servedBy) && !effects.has(id)
+    ),
     coldOverloads: run.upstreams.reduce(
       (sum, { journal }) => sum + journal.coldOverloads,
       0,
