test(regions): show that a promise must hold back a takeover

Cause: a witness may now promise while its observation of the lease row goes on, so the promise is what holds back its takeover.

Change: each is removed by itself; the new case loses the store for 700 ms at a holder and its witness and then cuts off the holder alone.

--- a/tests/regions/coordinator_lease_rules_test.ts
+++ b/tests/regions/coordinator_lease_rules_test.ts
@@ -5,11 +5,15 @@
 
 type Rules = ConstructorParameters<typeof RegionSimulation>[1];
 
-/** Breaks promises to other routers. */
-class WithoutPromise extends StoreContact {
+/** Takes a lease over in spite of a promise. */
+class TakesOver extends StoreContact {
   override mayActOnStore(): boolean {
     return true;
   }
+}
+
+/** Confirms versions in spite of a promise. */
+class Confirms extends StoreContact {
   override confirmableVersion(): number {
     return Number.MAX_SAFE_INTEGER;
   }
@@ -47,7 +51,7 @@
 }[] = [
   {
     rule: "a witness confirms no version while its promise is in force",
-    without: { Contact: WithoutPromise },
+    without: { Contact: Confirms },
     failure: /in outage serves version 1 after 2/,
     size: 3,
     async schedule(simulation) {
@@ -60,6 +64,21 @@
       await simulation.advance(2000);
     },
   },
+  {
+    rule: "a witness takes no lease over while its promise is in force",
+    without: { Contact: TakesOver },
+    failure: /two holders/,
+    size: 2,
+    async schedule(simulation) {
+      const router = simulation.routers.indexOf(simulation.holders()[0]!);
+      // Shorter than the TTL, so that the witness's observation goes on.
+      await simulation.run({ kind: "storeDown", on: true });
+      await simulation.advance(700);
+      await simulation.run({ kind: "cutStore", router, on: true });
+      await simulation.run({ kind: "storeDown", on: false });
+      await simulation.advance(5000);
+    },
+  },
   {
     rule: "a holder without contact needs the promise of every witness",
     without: { Contact: WithoutWitnesses },
