refactor(regions): use one shape for lease rows, lease and coordinator views

Cause: coordinator_lease.ts extended the lease row locally, two things were called CoordinatorView, and src/daemon/coordination.ts adapted the lease, the VM list and the coordinator rows to the interfaces of their users.

Change: writeId, released and witnessIncarnations are optional fields of CoordinatorRow. CoordinatorLease implements CoordinatorLeaseView (with the outcome not_held), VmListPoller implements ListedVmsView, and the renewal task takes the CoordinatorView of src/vms. The adapters are gone.

--- a/src/daemon/coordination.ts
+++ b/src/daemon/coordination.ts
@@ -1,25 +1,11 @@
 import type { LimitHost } from "../limits/limit_host.ts";
 import { Coordinator } from "../regions/coordinator.ts";
 import { CoordinatorLease } from "../regions/coordinator_lease.ts";
-import type { CoordinatorLeaseView } from "../regions/coordinator_lease_view.ts";
 import { RenewalTask } from "../regions/renewal_task.ts";
 import type { DispatchHost } from "../upstreams/dispatch_host.ts";
 import type { DaemonContext } from "./daemon_context.ts";
 import type { Membership } from "./membership.ts";
 
-function leaseView(lease: CoordinatorLease): CoordinatorLeaseView {
-  return {
-    held: () => lease.held(),
-    changed: lease.changed,
-    writeFenced: ({ writes, conditions }, signal) =>
-      lease.writeFenced(writes, conditions, signal).mapErr((error) =>
-        error.kind === "not_held"
-          ? { kind: "unavailable", message: "the lease is not held" }
-          : error
-      ),
-  };
-}
-
 /** The coordinator lease, the coordinator's work, and the dispatch lease. */
 export class Coordination {
   readonly lease: CoordinatorLease;
@@ -63,11 +49,11 @@
       region: self.region,
       clock,
       logger,
-      lease: leaseView(this.lease),
+      lease: this.lease,
       contact,
       table: platform.table,
       catalogue: views.catalogue,
-      listedVms: { vms: () => [...vmList.vms], changed: vmList.changed },
+      listedVms: vmList,
       assignments: views.assignments,
       renewHoldMs: cfg.timing.renewHoldMs,
       dispatchTtlMs: cfg.timing.dispatchTtlMs,
@@ -77,10 +63,7 @@
       clock,
       logger,
       contact,
-      coordinators: {
-        get: (region) => views.coordinators.get(region)?.row,
-        changed: views.coordinators.changed,
-      },
+      coordinators: views.coordinators,
       peers: membership.peers,
       dispatchers,
       limits,
--- a/src/regions/coordinator.ts
+++ b/src/regions/coordinator.ts
@@ -160,7 +160,7 @@
   #plan(term: RegionTerm): ReturnType<RegionTerm["plan"]> {
     const { clock, catalogue, listedVms, contact, assignments } = this.#deps;
     const document = catalogue.current?.document;
-    const vms = listedVms.vms();
+    const vms = listedVms.vms;
     if (
       contact.mode() !== "current" || document === undefined ||
       vms.length === 0
--- a/src/regions/coordinator_lease.ts
+++ b/src/regions/coordinator_lease.ts
@@ -1,6 +1,5 @@
 import { randomUUID } from "node:crypto";
 import { err, type Result, ResultAsync } from "neverthrow";
-import { z } from "zod";
 import { ChangeNotifier } from "../base/change_notifier.ts";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
@@ -18,23 +17,14 @@
 import type { VmListPoller } from "../vms/vm_list_poller.ts";
 import { waitForChange } from "../vms/wait_for_change.ts";
 import { withTimeout } from "../vms/with_timeout.ts";
+import type { CoordinatorLeaseView } from "./coordinator_lease_view.ts";
 import { CoordinatorRow } from "./coordinator_row.ts";
 
-const LeaseRow = CoordinatorRow.extend({
-  /** Tells the holder which of its attempts took effect. */
-  writeId: z.string().optional(),
-  /** The holder has stopped; nobody needs to wait for the TTL. */
-  released: z.boolean().optional(),
-  /** Incarnation of each witness; only that process may take over. */
-  witnessIncarnations: z.record(z.string(), z.string()).optional(),
-});
-type LeaseRow = z.infer<typeof LeaseRow>;
-
 type WitnessSet = ReturnType<StoreContact["expectWitnesses"]>;
 
 /** A write whose outcome may still be open. */
 type Attempt = {
-  row: LeaseRow;
+  row: CoordinatorRow;
   writeId: string;
   sentAt: number;
   /** Revision of the lease row that the write requires. */
@@ -48,7 +38,7 @@
   /** When the last renewal that took effect was sent. */
   renewedAt: number;
   revision: number;
-  row: LeaseRow;
+  row: CoordinatorRow;
 };
 
 type Read = {
@@ -56,15 +46,14 @@
   receivedAt: number;
   revision: number;
   /** Undefined when the row is absent. */
-  row: LeaseRow | undefined;
+  row: CoordinatorRow | undefined;
 };
 
 /**
  * The coordinator lease of the router's region, see the design page, sections
  * 6.1 and 7.
  */
-export class CoordinatorLease {
-  /** Notifies when this router became or ceased to be the holder. */
+export class CoordinatorLease implements CoordinatorLeaseView {
   readonly changed = new ChangeNotifier();
 
   readonly #table: TableService;
@@ -138,11 +127,6 @@
     this.#key = `coordinators/${options.self.region}`;
   }
 
-  /**
-   * @returns the lease at this moment: its epoch, when it was acquired on this
-   * router's clock, and the revision of the lease row; undefined when this
-   * router must not act as coordinator
-   */
   held(): { epoch: number; since: number; revision: number } | undefined {
     const lease = this.#lease;
     if (lease === undefined || this.#stopped) return undefined;
@@ -153,22 +137,10 @@
     return { epoch, since, revision };
   }
 
-  /**
-   * Writes rows on condition that this router still holds the lease. Never runs
-   * at the same time as a renewal, which changes the required revision. After
-   * an `unknown` outcome the next renewal makes sure that the write cannot take
-   * effect any more, so that reading back after it is conclusive.
-   *
-   * @param writes - rows to write; null deletes
-   * @param conditions - further conditions
-   * @param signal - gives up waiting
-   * @returns the outcome; `not_held` when nothing was sent
-   */
   writeFenced(
-    writes: TableTransaction["writes"],
-    conditions: TableTransaction["conditions"],
+    tx: TableTransaction,
     signal: AbortSignal,
-  ): ResultAsync<TableOutcome, TableError | { kind: "not_held" }> {
+  ): ReturnType<CoordinatorLeaseView["writeFenced"]> {
     return new ResultAsync(this.#exclusive<
       Result<TableOutcome, TableError | { kind: "not_held" }>
     >(async () => {
@@ -180,9 +152,9 @@
       return await this.#transact({
         conditions: [
           { key: this.#key, revision: held.revision },
-          ...conditions,
+          ...tx.conditions,
         ],
-        writes,
+        writes: tx.writes,
       }, signal);
     }));
   }
@@ -226,7 +198,7 @@
     await this.#exclusive(async () => {
       while (this.#lease !== undefined && !signal.aborted) {
         const lease = this.#lease;
-        const row: LeaseRow = {
+        const row: CoordinatorRow = {
           ...lease.row,
           beat: lease.row.beat + 1,
           writeId: randomUUID(),
@@ -310,11 +282,9 @@
    * themselves, which bounds the number of reads.
    */
   #mayBecomeCandidate(): boolean {
-    const known = LeaseRow.safeParse(
-      this.#coordinators.get(this.#self.region)?.row,
-    );
-    return !known.success || this.#isFree(known.data) ||
-      this.#isNamed(known.data) || this.#isHolderGone(known.data);
+    const row = this.#coordinators.get(this.#self.region)?.row;
+    return row === undefined || this.#isFree(row) || this.#isNamed(row) ||
+      this.#isHolderGone(row);
   }
 
   async #read(signal: AbortSignal): Promise<Read | undefined> {
@@ -342,7 +312,7 @@
     if (found.value === null || found.value === undefined) {
       return { ...times, revision: 0, row: undefined };
     }
-    const parsed = LeaseRow.safeParse(found.value);
+    const parsed = CoordinatorRow.safeParse(found.value);
     if (!parsed.success) {
       this.#logger.warn(
         { row: this.#key, revision: found.revision },
@@ -389,15 +359,15 @@
       this.#isHolderGone(row);
   }
 
-  #isFree(row: LeaseRow): boolean {
+  #isFree(row: CoordinatorRow): boolean {
     return row.released === true;
   }
 
-  #isNamed(row: LeaseRow): boolean {
+  #isNamed(row: CoordinatorRow): boolean {
     return row.witnessIncarnations?.[this.#self.vm] === this.#self.incarnation;
   }
 
-  #isHolderGone(row: LeaseRow): boolean {
+  #isHolderGone(row: CoordinatorRow): boolean {
     return this.#members.get(row.vm)?.incarnation !== row.incarnation ||
       this.#vmList.goneSince(row.vm) !== undefined;
   }
--- a/src/regions/coordinator_row.ts
+++ b/src/regions/coordinator_row.ts
@@ -12,5 +12,11 @@
   /** Grows with each renewal. */
   beat: z.int().nonnegative(),
   witnesses: z.array(z.string()),
+  /** Incarnation of each witness; only that process may take over. */
+  witnessIncarnations: z.record(z.string(), z.string()).optional(),
+  /** Tells the holder which of its attempts took effect. */
+  writeId: z.string().optional(),
+  /** The holder has stopped; nobody needs to wait for the TTL. */
+  released: z.boolean().optional(),
 });
 export type CoordinatorRow = z.infer<typeof CoordinatorRow>;
--- a/src/regions/renewal_task.ts
+++ b/src/regions/renewal_task.ts
@@ -4,10 +4,10 @@
 import type { LimitHost } from "../limits/limit_host.ts";
 import type { AssignmentView } from "../shards/assignment_view.ts";
 import type { DispatchHost } from "../upstreams/dispatch_host.ts";
+import type { CoordinatorView } from "../vms/coordinator_view.ts";
 import type { PeerClient } from "../vms/peer_client.ts";
 import type { StoreContactView } from "../vms/store_contact_view.ts";
 import type { CoordinatorRow } from "./coordinator_row.ts";
-import type { CoordinatorView } from "./coordinator_view.ts";
 import type { RenewGrant } from "./renew_grant.ts";
 import type { RenewParams } from "./renew_params.ts";
 import { RenewResult } from "./renew_result.ts";
@@ -21,7 +21,7 @@
   clock: Clock;
   logger: Logger;
   contact: StoreContactView;
-  coordinators: CoordinatorView;
+  coordinators: Pick<CoordinatorView, "get" | "changed">;
   peers: PeerClient;
   dispatchers: DispatchHost;
   limits: LimitHost;
@@ -96,7 +96,7 @@
     const { contact, coordinators, clock, region } = this.#deps;
     let backoffMs = MIN_BACKOFF_MS;
     while (!signal.aborted) {
-      const coordinator = coordinators.get(region);
+      const coordinator = coordinators.get(region)?.row;
       if (contact.mode() === "cut_off" || coordinator === undefined) {
         await waitForAny([contact.changed, coordinators.changed], clock, {
           ms: IDLE_MS,
@@ -227,7 +227,7 @@
   ): Promise<void> {
     const { clock, coordinators, region, renewHoldMs } = this.#deps;
     while (!over.signal.aborted) {
-      const moved = coordinators.get(region)?.epoch !== coordinator.epoch;
+      const moved = coordinators.get(region)?.row.epoch !== coordinator.epoch;
       const outdated = this.#version !== attempt.version;
       const sinceAnswer = clock.now() - this.#answeredAt;
       const age = clock.now() - attempt.sentAt;
--- a/src/vms/listed_vms_view.ts
+++ b/src/vms/listed_vms_view.ts
@@ -6,7 +6,7 @@
   /**
    * @returns every listed VM; empty until the list has been read
    */
-  vms(): ListedVm[];
+  readonly vms: readonly ListedVm[];
 
   /** Notifies when the list has changed. */
   readonly changed: ChangeNotifier;
--- a/src/vms/vm_list_poller.ts
+++ b/src/vms/vm_list_poller.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../base/logger.ts";
 import type { ListedVm } from "../contracts/listed_vm.ts";
 import type { VmList } from "../contracts/vm_list.ts";
+import type { ListedVmsView } from "./listed_vms_view.ts";
 import { withTimeout } from "./with_timeout.ts";
 
 // A VM that is missing from the list may be too new for the lagging list. It
@@ -12,8 +13,7 @@
 const MEMORY_MS = 3_600_000;
 
 /** Keeps the last VM list that could be read. */
-export class VmListPoller {
-  /** Notifies when the content of the list changed. */
+export class VmListPoller implements ListedVmsView {
   readonly changed = new ChangeNotifier();
 
   readonly #list: VmList;
@@ -40,9 +40,6 @@
     this.#pollMs = options.pollMs;
   }
 
-  /**
-   * @returns the VMs of the last successful read, empty before the first
-   */
   get vms(): readonly ListedVm[] {
     return this.#vms;
   }
--- a/tests/regions/coordinator_lease_test.ts
+++ b/tests/regions/coordinator_lease_test.ts
@@ -89,7 +89,10 @@
   await simulation.advance(1300);
   holder.clock.paused = false;
   assert.equal(holder.lease.held(), undefined);
-  const written = await holder.lease.writeFenced([], [], signal);
+  const written = await holder.lease.writeFenced(
+    { writes: [], conditions: [] },
+    signal,
+  );
   assert.equal(written._unsafeUnwrapErr().kind, "not_held");
   await simulation.advance(1000);
   assert.equal(holder.lease.held()?.epoch, 1);
@@ -150,7 +153,10 @@
   const { simulation, holder } = await region();
   const rows = [{ key: "assignments/sierra/bookings", value: 1 }];
   const before = holder.lease.held()!;
-  const write = holder.lease.writeFenced(rows, [], signal);
+  const write = holder.lease.writeFenced(
+    { writes: rows, conditions: [] },
+    signal,
+  );
   // A renewal is due while the write waits, and must not invalidate it.
   await simulation.advance(600);
   assert.equal((await write)._unsafeUnwrap().committed, true);
@@ -170,7 +176,10 @@
       },
     }],
   });
-  const late = holder.lease.writeFenced(rows, [], signal);
+  const late = holder.lease.writeFenced(
+    { writes: rows, conditions: [] },
+    signal,
+  );
   await simulation.advance(100);
   assert.equal((await late)._unsafeUnwrap().committed, false);
   await simulation.advance(400);
--- a/tests/support/region_lease.ts
+++ b/tests/support/region_lease.ts
@@ -5,7 +5,6 @@
 import type { TableTransaction } from "../../src/contracts/table_transaction.ts";
 import type { CoordinatorLeaseView } from "../../src/regions/coordinator_lease_view.ts";
 import { CoordinatorRow } from "../../src/regions/coordinator_row.ts";
-import type { CoordinatorView } from "../../src/regions/coordinator_view.ts";
 import type { RegionProcess } from "./region_process.ts";
 import type { RegionTable } from "./region_table.ts";
 
@@ -13,7 +12,7 @@
 const STEP_MS = 150;
 
 /** A coordinator lease without witnesses; also knows the present holder. */
-export class RegionLease implements CoordinatorLeaseView, CoordinatorView {
+export class RegionLease implements CoordinatorLeaseView {
   readonly changed = new ChangeNotifier();
   /** Whether the lease outlasts its TTL, as in an outage with witnesses. */
   mayContinue = () => false;
@@ -52,8 +51,8 @@
     return { epoch: this.#row.row.epoch, since: this.#since };
   }
 
-  get(): CoordinatorRow | undefined {
-    return this.#row?.row;
+  get(): { revision: number; row: CoordinatorRow } | undefined {
+    return this.#row;
   }
 
   writeFenced(
--- a/tests/support/region_world.ts
+++ b/tests/support/region_world.ts
@@ -60,7 +60,7 @@
   longRuns = false;
   /** Coordinators keep their lease without the store, as with witnesses. */
   keepLeases = false;
-  vms: ListedVm[] = [];
+  readonly vms: ListedVm[] = [];
   readonly #catalogue = new CatalogueView();
   readonly #listChanged = new ChangeNotifier();
   readonly #isolated = new Set<string>();
@@ -153,7 +153,8 @@
   }
 
   setListed(id: string, state: ListedVm["state"]): void {
-    this.vms = this.vms.map((vm) => vm.id === id ? { ...vm, state } : vm);
+    const index = this.vms.findIndex((vm) => vm.id === id);
+    this.vms[index] = { ...this.vms[index]!, state };
     this.#listChanged.notify();
   }
 
@@ -213,7 +214,7 @@
       lease,
       table: this.#tableOf(vm, process),
       catalogue: this.#catalogue,
-      listedVms: { vms: () => this.vms, changed: this.#listChanged },
+      listedVms: { vms: this.vms, changed: this.#listChanged },
       dispatchTtlMs: 2000,
     });
     const renewal = new RenewalTask({
