fix(vms): use answers of witnesses that are later than the ask interval

Cause: a call of witness.ask was given up after 400 ms, although a promise of 1,000 ms counts from the sending of the call. On an overloaded machine routers in outage became cut_off after answers of more than 400 ms.

Change: the call is given up when its promise would be over.

No figure of real processes: the machine was overloaded before and after.

Conclusion: rounds of questions overlap, so later answers cost no time.

--- a/src/vms/store_contact.ts
+++ b/src/vms/store_contact.ts
@@ -440,7 +440,8 @@
         incarnation: this.#self.incarnation,
       },
       result: WitnessAnswer,
-      timeoutMs: this.#timing.witnessAskMs,
+      // A late answer is worth the rest of its promise.
+      timeoutMs: this.#timing.witnessPromiseMs,
     }, signal);
     if (result.isErr()) return;
     const answer = result.value;
