--- a/dev/bench/main.ts
+++ b/dev/bench/main.ts
@@ -3,12 +3,14 @@
 import { domainBench } from "./domain.ts";
 import { lossBench } from "./loss.ts";
 import { printReport } from "./print_report.ts";
+import { storeOutageBench } from "./store_outage.ts";
 import { stragglersBench } from "./stragglers.ts";
 import { throughputBench } from "./throughput.ts";
 
 const BENCHES: readonly Bench[] = [
   lossBench,
   domainBench,
+  storeOutageBench,
   stragglersBench,
   throughputBench,
 ];
--- a/dev/standins/platform_standin.ts
+++ b/dev/standins/platform_standin.ts
@@ -21,6 +21,8 @@
  */
 export class PlatformStandin {
   readonly table = new TableStore();
+  /** Calls of the table service, with those that a fault kept from it. */
+  readonly #received = { receivedReads: 0, receivedWrites: 0 };
   readonly #objects = new Map<string, Buffer>();
   readonly #server = createServer((req, res) => {
     this.#serve(req, res).catch(() => res.destroy());
@@ -63,6 +65,8 @@
       this.#control(url.pathname, body, res);
       return;
     }
+    if (url.pathname === "/v1/rows") this.#received.receivedReads += 1;
+    if (url.pathname === "/v1/transact") this.#received.receivedWrites += 1;
     if (this.#faults.hang) return;
     await systemClock.sleep(this.#faults.delayMs);
     const vm = req.headers["fescuerun-vm"];
@@ -138,7 +142,7 @@
         sendJson(res, 200, {});
         return;
       case "/control/counts":
-        sendJson(res, 200, this.table.counts);
+        sendJson(res, 200, { ...this.table.counts, ...this.#received });
         return;
       default:
         sendJson(res, 404, { message: "unknown control path" });
