feat(bench): measure control cost, churn, imbalance and limits

Cause: the capacity page needs measured slopes, and the plans for shards, pins and limit shares had no bench.

--- a/dev/bench/main.ts
+++ b/dev/bench/main.ts
@@ -1,6 +1,10 @@
 import { Command } from "commander";
 import type { Bench } from "./bench.ts";
+import { churnBench } from "./churn.ts";
+import { controlBench } from "./control.ts";
 import { domainBench } from "./domain.ts";
+import { imbalanceBench } from "./imbalance.ts";
+import { limitsBench } from "./limits.ts";
 import { lossBench } from "./loss.ts";
 import { printReport } from "./print_report.ts";
 import { stragglersBench } from "./stragglers.ts";
@@ -11,6 +15,10 @@
   domainBench,
   stragglersBench,
   throughputBench,
+  controlBench,
+  churnBench,
+  imbalanceBench,
+  limitsBench,
 ];
 const DEFAULT_REPETITIONS = "5";
 
--- /dev/null
+++ b/dev/bench/measure_follower.ts
@@ -0,0 +1,184 @@
+import { randomUUID } from "node:crypto";
+import { systemClock } from "../../src/base/system_clock.ts";
+import { CatalogueView } from "../../src/catalogue/catalogue_view.ts";
+import { CompiledCatalogue } from "../../src/catalogue/compiled_catalogue.ts";
+import { TableRows } from "../../src/contracts/table_rows.ts";
+import { AssignmentView } from "../../src/shards/assignment_view.ts";
+import { CoordinatorView } from "../../src/vms/coordinator_view.ts";
+import { MemberView } from "../../src/vms/member_view.ts";
+import { StoreContact } from "../../src/vms/store_contact.ts";
+import { StorePoller } from "../../src/vms/store_poller.ts";
+import { TableStore } from "../standins/table_store.ts";
+import { CpuMeter } from "./cpu_meter.ts";
+import { quietLogger } from "./quiet_logger.ts";
+import { storeClient } from "./store_client.ts";
+import type { SyntheticRegion } from "./synthetic_region.ts";
+
+const LONG_MS = 3_600_000;
+const CONTACT_MS = 1500;
+const MICROS = 1e6;
+const ROUNDS = 20;
+const INCARNATION = "00000000-0000-4000-8000-000000000000";
+
+/**
+ * Measures what following the table service costs a router: one heartbeat of a
+ * coordinator, one catalogue change, one answer as a witness.
+ *
+ * @param region - the region
+ * @param regions - number of regions whose coordinators write heartbeats
+ * @returns processor time in microseconds, sizes in bytes
+ */
+export async function measureFollower(
+  region: SyntheticRegion,
+  regions: number,
+): Promise<Record<string, number>> {
+  const store = new TableStore();
+  const put = (key: string, value: unknown) =>
+    store.transact({ conditions: [], writes: [{ key, value }] });
+  const document = region.catalogue();
+  const catalogueRow = (version: number) => ({
+    schema: 1,
+    version,
+    author: "operator",
+    at: new Date(0).toISOString(),
+    writeId: randomUUID(),
+    document,
+  });
+  const heartbeat = (index: number, beat: number) =>
+    put(`coordinators/region-${index}`, {
+      schema: 1,
+      region: `region-${index}`,
+      vm: "entry-00000",
+      incarnation: INCARNATION,
+      peerUrl: "http://10.0.0.4:8081",
+      epoch: 1,
+      beat,
+      witnesses: Array.from({ length: 5 }, (_, other) => `entry-0000${other}`),
+    });
+  put("catalogue/current", catalogueRow(1));
+  for (let index = 0; index < regions; index += 1) heartbeat(index, 1);
+  for (const row of region.rows()) {
+    put(`assignments/${row.region}/${row.service}`, row);
+  }
+  const views = {
+    catalogue: new CatalogueView(),
+    members: new MemberView(),
+    coordinators: new CoordinatorView(),
+    assignments: new AssignmentView(),
+  };
+  let offset = 0;
+  const clock = { ...systemClock, now: () => systemClock.now() + offset };
+  const poller = new StorePoller({
+    table: storeClient(store),
+    clock,
+    logger: quietLogger,
+    pollMs: LONG_MS,
+    timeoutMs: CONTACT_MS,
+    views,
+  });
+  const contact = new StoreContact({
+    self: {
+      vm: "entry-00000",
+      incarnation: INCARNATION,
+      region: region.region,
+      failureDomain: `${region.region}-0`,
+    },
+    timing: {
+      storeContactMs: CONTACT_MS,
+      witnessAskMs: 400,
+      witnessPromiseMs: 1000,
+    },
+    clock,
+    logger: quietLogger,
+    poller,
+    views,
+    peers: {
+      call: () => {
+        throw new Error("a witness calls nobody to answer");
+      },
+    },
+    vmList: { goneSince: () => undefined },
+  });
+  contact.markRegistered();
+  const stop = new AbortController();
+  const polled = poller.polled.next();
+  const running = poller.run(stop.signal);
+  await polled;
+  stop.abort();
+  await running;
+
+  // What one poll brings, read as the HTTP adapter reads it.
+  const take = (since: number) => {
+    const text = JSON.stringify(store.readRows({ prefix: "", since }));
+    const meter = new CpuMeter();
+    meter.add(() => {
+      for (const row of TableRows.parse(JSON.parse(text)).rows) {
+        poller.adopt(row);
+      }
+    });
+    return { bytes: Buffer.byteLength(text), us: meter.seconds * MICROS };
+  };
+  const all = store.readRows({ prefix: "", since: 0 }).revision;
+  let since = all;
+  const beats = { bytes: 0, us: 0 };
+  const changes = { bytes: 0, us: 0, compileUs: 0 };
+  for (let round = 0; round < ROUNDS; round += 1) {
+    for (let index = 0; index < regions; index += 1) {
+      heartbeat(index, round + 2);
+    }
+    const beat = take(since);
+    beats.bytes += beat.bytes / ROUNDS;
+    beats.us += beat.us / ROUNDS;
+    since = store.readRows({ prefix: "", since }).revision;
+
+    const row = catalogueRow(round + 2);
+    store.transact({
+      conditions: [],
+      writes: [
+        { key: "catalogue/current", value: row },
+        { key: `catalogue/history/${round + 2}`, value: row },
+        {
+          key: `audit/${row.at}-${round}`,
+          value: {
+            schema: 1,
+            at: row.at,
+            actor: "operator",
+            action: "catalogue.apply",
+            vm: "entry-00000",
+            fromVersion: round + 1,
+            toVersion: round + 2,
+            outcome: "committed",
+            details: {},
+          },
+        },
+      ],
+    });
+    const change = take(since);
+    since = store.readRows({ prefix: "", since }).revision;
+    const compile = new CpuMeter();
+    compile.add(() => new CompiledCatalogue(document));
+    changes.bytes += change.bytes / ROUNDS;
+    changes.us += change.us / ROUNDS;
+    changes.compileUs += compile.seconds * MICROS / ROUNDS;
+  }
+  if (views.catalogue.version !== ROUNDS + 1) {
+    throw new Error("the follower missed a catalogue version");
+  }
+
+  offset = 2 * CONTACT_MS;
+  const ask = contact.handlers().find(({ method }) => method === "witness.ask");
+  const params = { vm: "entry-00001", incarnation: INCARNATION };
+  const answer = JSON.stringify(await ask?.handle(params, stop.signal));
+  if (!answer.includes("unreachable")) throw new Error(`answered ${answer}`);
+  return {
+    heartbeatPollBytes: beats.bytes,
+    heartbeatPollUs: beats.us,
+    catalogueChangeBytes: changes.bytes,
+    catalogueRowBytes: Buffer.byteLength(JSON.stringify(catalogueRow(1))),
+    catalogueChangeUs: changes.us,
+    compileUs: changes.compileUs,
+    witnessAnswerBytes: Buffer.byteLength(answer),
+    vmListBytes: Buffer.byteLength(JSON.stringify({ vms: region.vms() })),
+    listedVms: region.vms().length,
+  };
+}
--- /dev/null
+++ b/dev/bench/measure_term.ts
@@ -0,0 +1,139 @@
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { regionParts } from "../../src/limits/region_parts.ts";
+import { RegionTerm } from "../../src/regions/region_term.ts";
+import { RenewParams } from "../../src/regions/renew_params.ts";
+import { RenewResult } from "../../src/regions/renew_result.ts";
+import { CpuMeter } from "./cpu_meter.ts";
+import type { SyntheticRegion } from "./synthetic_region.ts";
+import { SyntheticRouter } from "./synthetic_router.ts";
+
+const TTL_MS = 2000;
+const HOLD_MS = 300;
+const EPOCH = 2;
+const SETTLE_ROUNDS = 3;
+const MIN_CPU_S = 0.03;
+const MAX_SAMPLES = 200;
+const MICROS = 1e6;
+const MIB = 1024 * 1024;
+
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+
+/**
+ * Runs a coordinator's term on a clock that it moves itself, and measures what
+ * the coordinator and the router do for one renewal, with the real schemas.
+ *
+ * @param region - the region
+ * @returns processor time in microseconds, sizes in bytes, memory in MiB
+ */
+export function measureTerm(region: SyntheticRegion): Record<string, number> {
+  collectGarbage();
+  const heapBefore = process.memoryUsage().heapUsed;
+  const catalogue = region.catalogue();
+  const vms = region.vms();
+  let revision = 1;
+  let now = 0;
+  const term = new RegionTerm({
+    region: region.region,
+    lease: { epoch: EPOCH, since: 0 },
+    dispatchTtlMs: TTL_MS,
+    rows: region.rows().map((row) => ({ revision, row })),
+    catalogue,
+  });
+  let writes = 0;
+  const plan = () => {
+    const planned = term.plan({
+      now,
+      catalogue,
+      vms,
+      foreign: [],
+      newWriteId: () => `00000000-0000-4000-8000-${String(revision)}`,
+    });
+    for (const { row, service } of planned) {
+      revision += 1;
+      writes += 1;
+      term.adopt({ revision, row }, now);
+      term.settled(service, { gainsBlocked: false });
+    }
+  };
+  const routers = Array.from(
+    { length: region.size.routers },
+    (_, index) => new SyntheticRouter(region.report(index)),
+  );
+  const serve = new CpuMeter();
+  const client = new CpuMeter();
+  const parts = new CpuMeter();
+  let requestBytes = 0;
+  let answerBytes = 0;
+  const renew = (router: SyntheticRouter) => {
+    const sent = client.add(() => JSON.stringify(router.next()));
+    const text = serve.add(() => {
+      const report = RenewParams.parse(JSON.parse(sent));
+      const session = term.accept(report, now);
+      const part = parts.add(() => regionParts(catalogue, region.region));
+      return JSON.stringify(term.answer(session, part, now));
+    });
+    client.add(() => {
+      const grant = RenewResult.parse(JSON.parse(text));
+      if (grant.kind === "granted") router.apply(grant);
+    });
+    requestBytes += Buffer.byteLength(sent);
+    answerBytes += Buffer.byteLength(text);
+  };
+  const step = HOLD_MS / routers.length;
+  for (let round = 0; round < SETTLE_ROUNDS; round += 1) {
+    for (const router of routers) {
+      now += step;
+      renew(router);
+    }
+    plan();
+  }
+  collectGarbage();
+  const heap = process.memoryUsage().heapUsed - heapBefore;
+
+  const settled = { serve: serve.seconds, client: client.seconds };
+  requestBytes = 0;
+  answerBytes = 0;
+  let renewals = 0;
+  writes = 0;
+  while (serve.seconds - settled.serve < MIN_CPU_S && renewals < MAX_SAMPLES) {
+    const router = routers[renewals % routers.length];
+    if (router === undefined) break;
+    now += step;
+    renew(router);
+    renewals += 1;
+  }
+  const repeat = (call: () => void): number => {
+    const meter = new CpuMeter();
+    let calls = 0;
+    while (meter.seconds < MIN_CPU_S) {
+      meter.add(call);
+      calls += 1;
+    }
+    return meter.seconds / calls * MICROS;
+  };
+  const sessions = routers.slice(0, 16).map((router) => {
+    const report = router.next();
+    const session = term.accept(report, now);
+    term.answer(session, new Map(), now);
+    report.answeredSeq = report.seq;
+    return session;
+  });
+  const checkUs = repeat(() => {
+    for (const session of sessions) term.isUpToDate(session);
+  }) / sessions.length;
+  const planUs = repeat(plan);
+  const row = region.rows()[0];
+  return {
+    serveUs: (serve.seconds - settled.serve) / renewals * MICROS,
+    clientUs: (client.seconds - settled.client) / renewals * MICROS,
+    checkUs,
+    planUs,
+    requestBytes: requestBytes / renewals,
+    answerBytes: answerBytes / renewals,
+    rowBytes: Buffer.byteLength(JSON.stringify(row)),
+    heapMiB: heap / MIB,
+    writesInSteadyState: writes,
+  };
+}
