test(daemon): SIGKILL of a router and an upstream runs nothing twice

Guards against a repeated request that may have run, a false not_run and keys without owner. The router is paused first, so that effects exist whose answers are lost with it; the upstream stand-in prints effects, which outlive SIGKILL.

--- a/dev/standins/upstream_options.ts
+++ b/dev/standins/upstream_options.ts
@@ -18,5 +18,7 @@
   warmUpMs: z.number().nonnegative().default(1000),
   /** Delay of health and load answers behind reality, milliseconds. */
   healthLagMs: z.number().nonnegative().default(0),
+  /** Writes a line `effect <request id>` to standard output for each effect. */
+  printEffects: z.boolean().default(false),
 });
 export type UpstreamOptions = z.infer<typeof UpstreamOptions>;
--- a/dev/standins/upstream_standin.ts
+++ b/dev/standins/upstream_standin.ts
@@ -1,3 +1,4 @@
+import { writeSync } from "node:fs";
 import {
   createServer,
   type IncomingMessage,
@@ -191,8 +192,11 @@
         this.#refuse(res, "grant");
         return;
       }
+      const id = header(req, "x-test-id");
+      // Synchronous, so that the record outlives a process that is killed.
+      if (this.#options.printEffects) writeSync(1, `effect ${id}\n`);
       this.journal.recordEffect({
-        id: header(req, "x-test-id"),
+        id,
         key: header(req, "x-test-key"),
         unit: header(req, HOP_HEADER.unit),
       });
--- /dev/null
+++ b/tests/daemon/lost_parts_test.ts
@@ -0,0 +1,107 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import { test } from "node:test";
+import { countViolations } from "../../dev/bench/violations.ts";
+import { Deployment } from "../../dev/deployment/deployment.ts";
+import type { Preset } from "../../dev/deployment/preset.ts";
+import { waitUntil } from "../../dev/deployment/wait_until.ts";
+import { patientCatalogue } from "../support/patient_catalogue.ts";
+import { readTenures } from "../support/read_tenures.ts";
+import { SMALL_PRESET } from "../support/small_preset.ts";
+import { SteadyCallers } from "../support/steady_callers.ts";
+
+const TIMEOUT_MS = 60_000;
+// Many slots, so that the router takes many answers with it.
+const PRESET: Preset = {
+  ...SMALL_PRESET,
+  services: SMALL_PRESET.services.map((one) => ({ ...one, slots: 8 })),
+};
+const KEYS = Array.from({ length: 97 }, (_, index) => `key-${index}`);
+
+test("SIGKILL of a router and an upstream runs nothing twice", async (t) => {
+  // Guards against a request that is repeated although it may have run, a
+  // refusal `not_run` of a request that ran, and keys that stay without owner.
+  const deployment = await Deployment.start({
+    preset: PRESET,
+    catalogue: patientCatalogue(PRESET),
+    upstream: { printEffects: true, serviceMs: 20 },
+  });
+  t.after(() => deployment.stop());
+  const { routers, upstreams, platformUrl, dir } = deployment;
+  const effectsOf = (id: string) =>
+    readFileSync(join(dir, `${id}.log`), "utf8").split("\n")
+      .filter((line) => line.startsWith("effect "))
+      .map((line) => line.slice("effect ".length));
+  const callers = new SteadyCallers({
+    urls: routers.map(({ callersUrl }) => callersUrl),
+    entries: ["bookings-once"],
+    // More than all slots, so that each upstream has requests in flight.
+    callers: 48,
+  });
+  t.after(() => callers.stop());
+  const someOf = (count: number) => () =>
+    Promise.resolve(callers.results.length > count);
+  await waitUntil("answers", TIMEOUT_MS, someOf(1000));
+
+  // A router that is paused first leaves effects whose answers are lost.
+  const [busy, vm] = Object.entries(await readTenures(platformUrl))[0] ?? [];
+  const router = routers.find((one) => one.vm === vm);
+  assert.ok(router !== undefined && busy !== undefined);
+  router.process.signal("SIGSTOP");
+  const before = effectsOf(busy).length;
+  let seen = before;
+  await waitUntil("effects without answers", TIMEOUT_MS, () => {
+    const last = seen;
+    seen = effectsOf(busy).length;
+    return Promise.resolve(seen > before && seen === last);
+  });
+  router.process.signal("SIGKILL");
+  callers.urls.delete(router.callersUrl);
+  const lost = upstreams.find(({ id }) => id !== busy);
+  lost?.process.signal("SIGKILL");
+
+  await waitUntil(
+    "more answers",
+    TIMEOUT_MS,
+    someOf(
+      callers.results.length + 100,
+    ),
+  );
+  await callers.stop();
+  await Promise.all(
+    KEYS.map((key) =>
+      waitUntil(
+        `an answer for ${key}`,
+        TIMEOUT_MS,
+        async () => (await callers.send(key)).status === 200,
+      )
+    ),
+  );
+  const { results } = callers;
+  const effects = upstreams.flatMap(({ id }) => effectsOf(id));
+  const { runTwice, falseNotRun, lostEffects, foreignAnswers } =
+    countViolations({
+      results,
+      upstreams: [{
+        id: "all",
+        service: "bookings",
+        journal: {
+          effects: effects.map((id) => ({ id, key: "", unit: "", at: 0 })),
+          holds: [],
+          coldOverloads: 0,
+        },
+      }],
+    });
+  assert.deepEqual(
+    { runTwice, falseNotRun, lostEffects, foreignAnswers },
+    { runTwice: 0, falseNotRun: 0, lostEffects: 0, foreignAnswers: 0 },
+  );
+  const unanswered = results.filter(({ status, outcome }) =>
+    status === 0 || outcome === "outcome_unknown"
+  );
+  assert.ok(
+    unanswered.some(({ id }) => effects.includes(id)),
+    "no request lost its answer after it ran, the test has shown nothing",
+  );
+});
