test(daemon): catalogue changes that race, last and lose answers

Guards against a lost update of two operators, an acceptance before every router has the change, a change that does not survive restarts, a wrong credential that is not audited, and a change applied twice after a lost answer of the table service. The stand-in can lose answers to writes of one key prefix only.

--- a/dev/standins/platform_faults.ts
+++ b/dev/standins/platform_faults.ts
@@ -10,6 +10,8 @@
   delayMs: z.number().nonnegative().default(0),
   /** Number of writes that take effect and whose answer is lost. */
   loseAnswers: z.int().nonnegative().default(0),
+  /** Only answers to transactions that write a key with this prefix. */
+  loseAnswersOf: z.string().default(""),
   /** VMs whose calls are refused, by the `fescuerun-vm` header. */
   cutOff: z.array(z.string()).default([]),
 });
--- a/dev/standins/platform_standin.ts
+++ b/dev/standins/platform_standin.ts
@@ -100,7 +100,11 @@
       return;
     }
     const outcome = this.table.transact(parsed.data);
-    if (outcome.committed && this.#faults.loseAnswers > 0) {
+    const { loseAnswers, loseAnswersOf } = this.#faults;
+    const concerned = parsed.data.writes.some(({ key }) =>
+      key.startsWith(loseAnswersOf)
+    );
+    if (outcome.committed && concerned && loseAnswers > 0) {
       this.#faults.loseAnswers -= 1;
       res.destroy();
       return;
--- /dev/null
+++ b/tests/daemon/catalogue_changes_test.ts
@@ -0,0 +1,206 @@
+import assert from "node:assert/strict";
+import { readFileSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { after, before, test } from "node:test";
+import { request } from "undici";
+import { stringify } from "yaml";
+import { control } from "../../dev/deployment/control.ts";
+import { Deployment } from "../../dev/deployment/deployment.ts";
+import { waitUntil } from "../../dev/deployment/wait_until.ts";
+import { AuditPage } from "../../src/admin/audit_page.ts";
+import { CatalogueAnswer } from "../../src/admin/catalogue_answer.ts";
+import { StatusAnswer } from "../../src/admin/status_answer.ts";
+import { CatalogueDocument } from "../../src/catalogue/catalogue_document.ts";
+import { EXIT_CODE } from "../../src/cli/exit_code.ts";
+import { patientCatalogue } from "../support/patient_catalogue.ts";
+import { runClient } from "../support/run_client.ts";
+import { SMALL_PRESET } from "../support/small_preset.ts";
+
+const OPERATORS = ["ana", "ben"];
+
+const TIMEOUT_MS = 60_000;
+
+let deployment: Deployment;
+before(async () => {
+  deployment = await Deployment.start({
+    preset: SMALL_PRESET,
+    operators: OPERATORS,
+  });
+});
+after(() => deployment.stop());
+
+/** Runs the client of an operator, each at a router of their own. */
+function run(operator: string, ...args: string[]) {
+  const router = deployment.routers[OPERATORS.indexOf(operator) + 1];
+  return runClient({
+    adminUrl: router?.adminUrl ?? "",
+    credentialFile: deployment.credentialFileOf(operator),
+  }, ...args);
+}
+
+async function readCatalogue() {
+  const { out } = await run("ana", "catalogue", "get", "--json");
+  const { version, document } = CatalogueAnswer.parse(JSON.parse(out));
+  const { entries } = CatalogueDocument.parse(document);
+  return { version, entries: Object.keys(entries) };
+}
+
+async function readAudit() {
+  const { out } = await run("ana", "audit", "--json");
+  return AuditPage.parse(JSON.parse(out)).rows.map(({ row }) => row);
+}
+
+/** Writes a catalogue file with one more entry. */
+function fileWith(entry: string): string {
+  const document = patientCatalogue(SMALL_PRESET);
+  const { bookings } = document.entries;
+  assert.ok(bookings);
+  document.entries[entry] = {
+    ...bookings,
+    match: { pathPrefix: `/${entry}/` },
+  };
+  const file = join(deployment.dir, `${entry}.yaml`);
+  writeFileSync(file, stringify(document));
+  return file;
+}
+
+function setFaults(faults: object): Promise<unknown> {
+  return control(`${deployment.platformUrl}/control/faults`, faults);
+}
+
+test("of two operators on the same version one wins", async () => {
+  // Guards against a lost update, and a loser who is not told who won.
+  const { version } = await readCatalogue();
+  // Both routers read the version before either writes.
+  await setFaults({ delayMs: 300 });
+  const results = await Promise.all(OPERATORS.map(async (operator) => ({
+    operator,
+    ...await run(
+      operator,
+      "catalogue",
+      "apply",
+      fileWith(`by-${operator}`),
+      "--json",
+      "--expect",
+      String(version),
+    ),
+  })));
+  await setFaults({});
+  const winner = results.find(({ code }) => code === EXIT_CODE.done);
+  const loser = results.find(({ code }) => code === EXIT_CODE.conflict);
+  assert.ok(winner && loser, JSON.stringify(results));
+  const failure = JSON.parse(loser.err) as {
+    data: { version: number; author: string };
+  };
+  assert.equal(failure.data.version, version + 1);
+  assert.equal(failure.data.author, winner.operator);
+
+  const { entries } = await readCatalogue();
+  assert.ok(entries.includes(`by-${winner.operator}`));
+  assert.ok(!entries.includes(`by-${loser.operator}`));
+  const audit = await readAudit();
+  for (
+    const [actor, outcome] of [
+      [winner.operator, "committed"],
+      [loser.operator, "conflict"],
+    ]
+  ) {
+    assert.equal(
+      audit.filter((row) => row?.actor === actor && row?.outcome === outcome)
+        .filter((row) => row?.fromVersion === version).length,
+      1,
+      `${actor} ${outcome}`,
+    );
+  }
+});
+
+/** The version and the entry that each router has in force, asked one by one. */
+function askEach(entry: string) {
+  return Promise.all(deployment.routers.map(async (router) => {
+    const status = await runClient(
+      { ...router, credentialFile: deployment.credentialFile },
+      "status",
+      "--json",
+    );
+    const res = await request(`${router.callersUrl}/${entry}/x`);
+    const answer = await res.body.json() as { code: string };
+    const { catalogueVersion } = StatusAnswer.parse(JSON.parse(status.out));
+    // The request has no key, which only a router with the entry can tell.
+    return { version: catalogueVersion, code: answer.code };
+  }));
+}
+
+test("an accepted change is in force everywhere and survives restarts", async () => {
+  // Guards against an acceptance before all routers have the change, and a
+  // change that only lives in the memory of routers.
+  const file = fileWith("lasting");
+  const { code, out } = await run("ana", "catalogue", "apply", file);
+  assert.equal(code, EXIT_CODE.done, out);
+  const inForce = await askEach("lasting");
+  const { version } = await readCatalogue();
+  const expected = deployment.routers.map(() => ({
+    version,
+    code: "missing_key",
+  }));
+  assert.deepEqual(inForce, expected);
+
+  const processes = deployment.routers.map((router) => router.process);
+  for (const one of processes) one.signal("SIGKILL");
+  await Promise.all(processes.map((one) => one.ended()));
+  for (const one of processes) one.start();
+  await deployment.routersReady();
+  assert.deepEqual(await askEach("lasting"), expected);
+});
+
+test("a wrong credential is refused and audited", async () => {
+  // Guards against changes by whoever reaches the administration interface.
+  const { version } = await readCatalogue();
+  const credentialFile = join(deployment.dir, "guess");
+  writeFileSync(credentialFile, "guess");
+  const { adminUrl = "" } = deployment.routers[0] ?? {};
+  const { code, err } = await runClient(
+    { adminUrl, credentialFile },
+    "catalogue",
+    "apply",
+    fileWith("refused"),
+    "--expect",
+    String(version),
+  );
+  assert.equal(code, EXIT_CODE.refused, err);
+  assert.equal((await readCatalogue()).version, version);
+  await waitUntil(
+    "the audit row",
+    TIMEOUT_MS,
+    async () =>
+      (await readAudit()).some((row) =>
+        row?.actor === "unknown" && row.outcome === "refused"
+      ),
+  );
+});
+
+test("a lost answer of the table service applies a change once", async () => {
+  // Guards against a change that is applied twice, or reported as failed or as
+  // another's, although it took effect.
+  const { version } = await readCatalogue();
+  await setFaults({ loseAnswers: 1, loseAnswersOf: "catalogue/" });
+  const { code, out } = await run(
+    "ana",
+    "catalogue",
+    "apply",
+    fileWith("once"),
+  );
+  assert.equal(code, EXIT_CODE.done, out);
+  assert.match(out, new RegExp(`^version ${version + 1} is committed\n`));
+  const log = readFileSync(
+    join(deployment.dir, `${deployment.routers[1]?.vm}.log`),
+    "utf8",
+  );
+  assert.match(log, /"code":"catalogue_answer_lost"/, "no answer was lost");
+  const { version: now, entries } = await readCatalogue();
+  assert.equal(now, version + 1);
+  assert.ok(entries.includes("once"));
+  const rows = (await readAudit()).filter((row) =>
+    row?.fromVersion === version
+  );
+  assert.deepEqual(rows.map((row) => row?.outcome), ["committed"]);
+});
