--- a/dev/bench/measure_coordinator.ts
+++ b/dev/bench/measure_coordinator.ts
@@ -72,7 +72,7 @@
     catalogue,
     // The list is read once for each plan.
     listedVms: {
-      vms: () => {
+      get vms() {
         plans += 1;
         return vms;
       },
--- a/tests/regions/coordinator_term_gap_test.ts
+++ b/tests/regions/coordinator_term_gap_test.ts
@@ -58,7 +58,7 @@
     contact: { mode: () => mode, changed },
     table,
     catalogue,
-    listedVms: { vms: () => [], changed },
+    listedVms: { vms: [], changed },
     assignments: new AssignmentView(),
     renewHoldMs: 300,
     dispatchTtlMs: 2000,
--- a/tests/regions/renewal_task_test.ts
+++ b/tests/regions/renewal_task_test.ts
@@ -59,7 +59,7 @@
       logger: { debug: quiet, info: quiet, warn: quiet } as unknown as Logger,
       contact: { mode: () => this.mode, changed: new ChangeNotifier() },
       coordinators: {
-        get: () => this.#coordinator(),
+        get: () => ({ revision: 1, row: this.#coordinator() }),
         changed: this.coordinatorChanged,
       },
       peers,
