fix(settings): name the setting behind a missing credential or a taken port

Cause: a peer credential file that is missing, or a port that is taken, ended the router with a stack trace that names no setting; an empty credential file was accepted, so that routers trusted an empty credential. Callers are listened for last.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,6 +1,5 @@
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
-import { readFileSync } from "node:fs";
 import type { Logger } from "../base/logger.ts";
 import { StatsdMetrics } from "../base/statsd_metrics.ts";
 import { systemClock } from "../base/system_clock.ts";
@@ -34,9 +33,10 @@
 
   /**
    * @param cfg - checked settings
+   * @param peerCredential - credential that routers show to each other
    * @param logger - log of the process
    */
-  constructor(cfg: Settings, logger: Logger) {
+  constructor(cfg: Settings, peerCredential: string, logger: Logger) {
     // Every task and request of the process listens to this signal, so that
     // Node's warning about more than ten listeners does not apply.
     setMaxListeners(0, this.#end.signal);
@@ -54,7 +54,7 @@
         failureDomain: cfg.failureDomain,
         peerUrl: `http://${cfg.advertisePeers ?? cfg.listen.peers}`,
       },
-      peerCredential: readFileSync(cfg.peers.credentialFile, "utf8").trim(),
+      peerCredential,
       clock: systemClock,
       logger,
       metrics: this.#metrics,
@@ -100,9 +100,11 @@
    */
   async run(stop: AbortSignal): Promise<void> {
     const { cfg, logger, platform } = this.#context;
+    // Callers come last, so that none is accepted by a router that then ends
+    // because another port is taken.
+    await this.#admin.listen(cfg.listen.admin);
     await this.#peerListener.listen(cfg.listen.peers);
     await this.#dataPlane.callers.listen(cfg.listen.callers);
-    await this.#admin.listen(cfg.listen.admin);
     logger.info({ listen: cfg.listen }, "router started");
     const tasks = Promise.all([
       this.#membership.run(),
--- /dev/null
+++ b/src/settings/read_peer_credential.ts
@@ -0,0 +1,36 @@
+import { err, ok, type ResultAsync } from "neverthrow";
+import type { DocumentError } from "./document_error.ts";
+import { readTextFile } from "./read_text_file.ts";
+import type { Settings } from "./settings.ts";
+
+const PATH = ["peers", "credentialFile"];
+const ALLOWED = "a readable file that holds a credential in one line";
+
+/**
+ * @param file - settings file, for error messages
+ * @param cfg - its settings
+ * @returns the credential that routers show to each other, or why there is none
+ */
+export function readPeerCredential(
+  file: string,
+  cfg: Settings,
+): ResultAsync<string, DocumentError> {
+  const { credentialFile } = cfg.peers;
+  const fail = (found: string): DocumentError => ({
+    file,
+    problems: [{
+      path: PATH,
+      found: `${credentialFile}, ${found}`,
+      allowed: ALLOWED,
+    }],
+  });
+  return readTextFile(credentialFile)
+    .mapErr(({ problems }) => fail(problems[0]?.found ?? "unreadable"))
+    .andThen((text) => {
+      const credential = text.trim();
+      if (credential === "") return err(fail("an empty file"));
+      return /^[\x21-\x7e]+$/.test(credential)
+        ? ok(credential)
+        : err(fail("a file with other characters"));
+    });
+}
