--- a/src/regions/coordinator.ts
+++ b/src/regions/coordinator.ts
@@ -15,6 +15,7 @@
 import { RegionTerm } from "./region_term.ts";
 import { RenewParams } from "./renew_params.ts";
 import type { RenewResult } from "./renew_result.ts";
+import { reportDigest } from "./report_digest.ts";
 import type { RouterSession } from "./router_session.ts";
 import { waitForAny } from "./wait_for_any.ts";
 
@@ -59,6 +60,8 @@
   readonly #reports = new ChangeNotifier();
   #reportCount = 0;
   readonly #writes = new Set<Promise<void>>();
+  /** Digest of the last report by VM. */
+  readonly #digests = new Map<string, string>();
   #term: RegionTerm | undefined;
 
   /**
@@ -143,7 +146,7 @@
           .finally(() => {
             this.#writes.delete(task);
             this.#news.notify();
-            this.#noteReport();
+            this.#wakePlan();
           });
         this.#writes.add(task);
       }
@@ -201,7 +204,7 @@
       return refusal;
     }
     const session = term.accept(report, clock.now());
-    this.#noteReport();
+    this.#noteReport(report);
     const { seq } = report;
     const granted = await this.#answer(term, session, { seq, until, signal });
     return granted ?? refusal;
@@ -240,7 +243,15 @@
     await waitForAny(notifiers, clock, { ms, signal });
   }
 
-  #noteReport(): void {
+  /** Wakes the planning task if the report says something new. */
+  #noteReport(report: RenewParams): void {
+    const digest = reportDigest(report);
+    if (this.#digests.get(report.vm) === digest) return;
+    this.#digests.set(report.vm, digest);
+    this.#wakePlan();
+  }
+
+  #wakePlan(): void {
     this.#reportCount += 1;
     this.#reports.notify();
   }
