--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -9,9 +9,11 @@
     if (existsSync(file)) entryPoints[name] = file;
   }
 }
+const outdir = process.argv.find((arg) => arg.startsWith("--outdir="))
+  ?.slice("--outdir=".length) ?? "dist";
 await build({
   entryPoints,
-  outdir: "dist",
+  outdir,
   outExtension: { ".js": ".cjs" },
   bundle: true,
   platform: "node",
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -1,4 +1,5 @@
 import { Command } from "commander";
+import { addServeOnPlatform } from "../../platform/add_serve_on_platform.ts";
 import { addAssignmentShow } from "./add_assignment_show.ts";
 import { addAudit } from "./add_audit.ts";
 import { addCatalogueApply } from "./add_catalogue_apply.ts";
@@ -48,6 +49,7 @@
     .addHelpText("after", EXIT_CODE_HELP);
 
   addServe(program, cli);
+  addServeOnPlatform(program, cli);
 
   const config = program.command("config").description("settings files");
   addConfigCheck(config, cli);
--- /dev/null
+++ b/src/direct/attempt.ts
@@ -0,0 +1,128 @@
+import type { Readable } from "node:stream";
+import type { Clock } from "../base/clock.ts";
+import { UpstreamExchange } from "../upstreams/upstream_exchange.ts";
+import type { AttemptResult } from "./attempt_result.ts";
+import type { CallerCall } from "./caller_call.ts";
+import type { Upstream } from "./upstream.ts";
+import type { WireProtocol } from "./wire_protocol.ts";
+
+type Options = {
+  call: CallerCall;
+  upstream: Upstream;
+  idempotent: boolean;
+  protocol: WireProtocol;
+  clock: Clock;
+  /** Monotonic milliseconds at which the attempt is given up. */
+  deadlineAt: number;
+  /** Connections that this VM may have to the upstream. */
+  maxConnections: number;
+};
+
+/** A round trip between regions takes 40 ms; a lost SYN is repeated after 1 s. */
+const CONNECT_TIMEOUT_MS = 350;
+/** Larger answers are not kept in memory. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/**
+ * Sends a request to one upstream and reads the whole answer, so that nothing
+ * of an answer that turns out to be spoiled reaches the caller.
+ *
+ * @param options - the request, the upstream and the limits
+ * @param signal - gives the attempt up
+ * @returns what came of it
+ */
+export async function attempt(
+  options: Options,
+  signal: AbortSignal,
+): Promise<AttemptResult> {
+  const { call, upstream, clock, deadlineAt, protocol } = options;
+  const connection = upstream.connections.acquire(
+    options.maxConnections,
+    options.idempotent,
+  );
+  let sent = false;
+  const exchange = new UpstreamExchange({
+    connection,
+    request: call,
+    headers: protocol.upstreamHeaders(
+      call,
+      upstream.entry.id,
+      deadlineAt - clock.now(),
+    ),
+    beforeSend: () => {
+      sent = true;
+      return undefined;
+    },
+    onEnded: (err) => {
+      if (err === undefined) upstream.connections.release(connection);
+      else upstream.connections.discard(connection, err);
+    },
+  });
+  const done = new AbortController();
+  const giveUp = () => exchange.abandon(new Error("given up"));
+  signal.addEventListener("abort", giveUp, { once: true });
+  if (signal.aborted) giveUp();
+  void clock.sleep(CONNECT_TIMEOUT_MS, done.signal).then(() => {
+    if (sent || done.signal.aborted) return;
+    upstream.failures.onUnreachable(clock.now());
+    exchange.abandon(new Error("no connection in time"));
+  });
+  void clock.sleep(deadlineAt - clock.now(), done.signal).then(() => {
+    if (!done.signal.aborted) exchange.abandon(new Error("deadline exceeded"));
+  });
+  upstream.load.onSent();
+  upstream.warmUp.onSent(clock.now());
+  try {
+    return await readAnswer(exchange, options);
+  } finally {
+    upstream.load.onEnded();
+    signal.removeEventListener("abort", giveUp);
+    done.abort();
+  }
+}
+
+async function readAnswer(
+  exchange: UpstreamExchange,
+  { call, upstream, protocol, clock }: Options,
+): Promise<AttemptResult> {
+  const head = await exchange.head;
+  switch (head.kind) {
+    case "not_sent":
+      return { kind: "not_sent", reason: head.err.message };
+    case "unanswered":
+      return { kind: "lost", reason: head.err.message };
+    case "answered": {
+      const { status, headers, body } = head;
+      const answer = protocol.readAnswer(call, status, headers);
+      if (answer.identity === "other") {
+        const err = new Error("the answer belongs to another request");
+        exchange.abandon(err);
+        return { kind: "lost", reason: err.message };
+      }
+      if (answer.load !== undefined) {
+        upstream.load.onReport(answer.load, clock.now());
+      }
+      const read = await readBody(body);
+      if (answer.notExecuted) return { kind: "rejected", status, answer };
+      if (read instanceof Error) return { kind: "lost", reason: read.message };
+      return { kind: "answered", status, headers, body: read, answer };
+    }
+  }
+}
+
+async function readBody(body: Readable): Promise<Uint8Array | Error> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of body as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      if (size > MAX_ANSWER_BYTES) {
+        return new Error(`the answer exceeds ${MAX_ANSWER_BYTES} bytes`);
+      }
+      chunks.push(chunk);
+    }
+  } catch (err) {
+    return err instanceof Error ? err : new Error(String(err));
+  }
+  return Buffer.concat(chunks, size);
+}
--- /dev/null
+++ b/src/direct/direct_daemon.ts
@@ -0,0 +1,283 @@
+import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
+import type { Clock } from "../base/clock.ts";
+import type { Logger } from "../base/logger.ts";
+import { FleetRetryBudget } from "../limits/fleet_retry_budget.ts";
+import { PeerListener } from "../links/peer_listener.ts";
+import { rpcServer } from "../links/rpc_server.ts";
+import { KeeperLease } from "../ranges/keeper_lease.ts";
+import { RangeKeeper } from "../ranges/range_keeper.ts";
+import type { RangeGrants } from "../ranges/range_grants.ts";
+import { readRangeTable } from "../ranges/read_range_table.ts";
+import type { RowStore } from "../rows/row_store.ts";
+import { TableFollower } from "../rows/table_follower.ts";
+import { HttpPeerClient } from "../vms/http_peer_client.ts";
+import { DirectListener } from "./direct_listener.ts";
+import type { DirectMetrics } from "./direct_metrics.ts";
+import { DirectRouter } from "./direct_router.ts";
+import type { DirectSettings } from "./direct_settings.ts";
+import { FleetView } from "./fleet_view.ts";
+import type { RowSource } from "./row_source.ts";
+import { TextListener } from "./text_listener.ts";
+import type { WireProtocol } from "./wire_protocol.ts";
+import { WorkTimes } from "./work_times.ts";
+
+type Options = {
+  cfg: DirectSettings;
+  clock: Clock;
+  logger: Logger;
+  metrics: DirectMetrics;
+  store: RowStore;
+  protocol: WireProtocol;
+  /** Path of the readiness page. */
+  readinessPath: string;
+  /** Credential that VMs show to each other. */
+  peerCredential: string;
+  /** @param signal - ends the use of connections */
+  grants: (signal: AbortSignal) => RangeGrants;
+  /** Tables of operators and upstreams. */
+  sources: (
+    view: FleetView,
+  ) => { operators: RowSource; registry: RowSource };
+};
+
+const RANGES_TABLE = "fescuerun-ranges";
+const KEEPER_TABLE = "fescuerun-keeper";
+const METRICS_PATH = "/metrics";
+/**
+ * A feed call that stays open is silent for at most this long and a second,
+ * which is what keeps changes in force within 2.5 s when a connection dies.
+ */
+const FEED_WAIT_MS = 3000;
+/** Number of VMs until the keeper has counted them. */
+const ASSUMED_VMS = 12;
+const DEFAULT_BODY_BYTES = 1024 * 1024;
+/** Readiness must have failed twice, a second apart, before a VM is left out. */
+const READINESS_DELAY_MS = 2600;
+/** Left of the time to stop when idle connections are closed. */
+const STOP_RESERVE_MS = 1500;
+/** Keys without owners do not keep a VM from being ready for longer. */
+const OWNERS_WAIT_MS = 6000;
+/** Fits twice into the time that a new keeper takes to be found. */
+const HOLD_MS = 4000;
+const SWEEP_MS = 250;
+
+/** A router process that sends callers' requests straight to upstreams. */
+export class DirectDaemon {
+  readonly #opts: Options;
+  readonly #end = new AbortController();
+  readonly #view: FleetView;
+  readonly #operators: TableFollower;
+  readonly #registry: TableFollower;
+  readonly #ranges: TableFollower;
+  readonly #lease: KeeperLease;
+  readonly #keeper: RangeKeeper;
+  readonly #callers: DirectListener;
+  readonly #peers: PeerListener;
+  readonly #readiness: TextListener;
+  readonly #metrics: TextListener;
+  readonly #startedAt: number;
+  #ready = false;
+
+  /**
+   * @param opts - settings, store and protocol
+   */
+  constructor(opts: Options) {
+    this.#opts = opts;
+    const { cfg, clock, logger, metrics, store, protocol } = opts;
+    setMaxListeners(0, this.#end.signal);
+    this.#startedAt = clock.now();
+    const view = new FleetView({
+      clock,
+      logger,
+      regionOf: cfg.regionOf,
+      assumedVms: ASSUMED_VMS,
+    });
+    this.#view = view;
+    const sources = opts.sources(view);
+    this.#operators = this.#follow(sources.operators);
+    this.#registry = this.#follow(
+      sources.registry,
+      () => view.onRegistryRegained(),
+    );
+    this.#ranges = this.#follow(this.#rangeSource());
+    const self = { vm: cfg.vm, incarnation: randomUUID() };
+    this.#lease = new KeeperLease({
+      store,
+      table: KEEPER_TABLE,
+      self: { ...self, peerUrl: `http://${cfg.listen.peers}` },
+      clock,
+      logger,
+      signal: this.#end.signal,
+    });
+    const work = new WorkTimes();
+    this.#keeper = new RangeKeeper({
+      store,
+      table: RANGES_TABLE,
+      self,
+      view,
+      lease: this.#lease,
+      grants: opts.grants(this.#end.signal),
+      peers: new HttpPeerClient({
+        credential: opts.peerCredential,
+        clock,
+        signal: this.#end.signal,
+      }),
+      workMs: (service) => work.meanOfService(service, view.config),
+      clock,
+      logger,
+      metrics,
+      holdMs: Math.min(HOLD_MS, cfg.maxHoldMs),
+      signal: this.#end.signal,
+    });
+    this.#callers = new DirectListener({
+      clock,
+      logger,
+      router: new DirectRouter({
+        view,
+        work,
+        protocol,
+        budget: new FleetRetryBudget({
+          clock,
+          bound: cfg.retries,
+          vms: () => view.vms,
+        }),
+        clock,
+        logger,
+        metrics,
+        place: cfg,
+        onKey: (service, key) => this.#keeper.onKey(service, key),
+      }),
+      protocol,
+      maxBodyBytes: () =>
+        view.config?.requests.maxBodyBytes ?? DEFAULT_BODY_BYTES,
+      readinessDelayMs: READINESS_DELAY_MS,
+    });
+    const rpc = rpcServer({
+      handlers: [this.#keeper.handler],
+      credential: opts.peerCredential,
+      logger,
+      signal: this.#end.signal,
+    });
+    this.#peers = new PeerListener({
+      clock,
+      requests: { maxHeaderBytes: 8192, headersTimeoutMs: 2000 },
+      rpc: (req, res) => void rpc(req, res),
+      hop: undefined,
+      logger,
+    });
+    this.#readiness = new TextListener(opts.readinessPath, () => {
+      const ready = this.#isReady();
+      return { status: ready ? 200 : 503, text: ready ? "ready" : "not ready" };
+    });
+    this.#metrics = new TextListener(METRICS_PATH, async () => ({
+      status: 200,
+      text: await metrics.registry.metrics(),
+    }));
+  }
+
+  /**
+   * Serves until `stop` aborts, and then stops without cutting a request.
+   *
+   * @param stop - begins the graceful stop
+   * @returns a promise that resolves when everything has ended; rejects when a
+   * listener cannot be opened
+   */
+  async run(stop: AbortSignal): Promise<void> {
+    const { cfg, logger } = this.#opts;
+    const { signal } = this.#end;
+    await this.#peers.listen(cfg.listen.peers);
+    await this.#readiness.listen(cfg.listen.readiness);
+    if (cfg.listen.metrics !== undefined) {
+      await this.#metrics.listen(cfg.listen.metrics);
+    }
+    await this.#callers.listen(cfg.listen.callers);
+    logger.info({ listen: cfg.listen }, "router started");
+    const tasks = Promise.all([
+      this.#operators.run(signal),
+      this.#registry.run(signal),
+      this.#ranges.run(signal),
+      this.#lease.run(),
+      this.#keeper.run(),
+      this.#sweep(),
+    ]);
+    if (!stop.aborted) {
+      await new Promise((resolve) =>
+        stop.addEventListener("abort", resolve, { once: true })
+      );
+    }
+    await this.#stop();
+    await tasks;
+    logger.info({}, "router stopped");
+  }
+
+  async #stop(): Promise<void> {
+    const { cfg, logger } = this.#opts;
+    logger.info({ stopMs: cfg.stopMs }, "graceful stop begins");
+    const quiet = AbortSignal.timeout(
+      Math.max(0, cfg.stopMs - STOP_RESERVE_MS),
+    );
+    await Promise.all([this.#callers.drain(quiet), this.#lease.release()]);
+    this.#end.abort();
+    this.#peers.close();
+    this.#readiness.close();
+    this.#metrics.close();
+  }
+
+  /** Applies what depends on time alone. */
+  async #sweep(): Promise<void> {
+    const { clock } = this.#opts;
+    const { signal } = this.#end;
+    while (!signal.aborted) {
+      this.#view.dropMissing();
+      const idleMs = this.#view.config?.requests.idleTimeoutMs;
+      if (idleMs !== undefined) this.#callers.setIdleTimeout(idleMs);
+      await clock.sleep(SWEEP_MS, signal);
+    }
+  }
+
+  #isReady(): boolean {
+    const { clock, logger } = this.#opts;
+    const { config } = this.#view;
+    const known = config !== undefined && this.#registry.synced;
+    const owned = config?.services.every(({ name, keyed }) =>
+      !keyed || this.#view.ranges(name) !== undefined
+    ) ?? false;
+    const waited = clock.now() - this.#startedAt > OWNERS_WAIT_MS;
+    const ready = known && (owned || waited) && !this.#callers.draining;
+    if (ready !== this.#ready) {
+      this.#ready = ready;
+      logger.info({ ready, known, owned }, "readiness changed");
+    }
+    return ready;
+  }
+
+  #rangeSource(): RowSource {
+    const { logger } = this.#opts;
+    const apply = (row: Parameters<typeof readRangeTable>[0]) => {
+      const table = readRangeTable(row, logger);
+      if (table !== undefined) this.#view.setRanges(row.key, table);
+    };
+    return {
+      table: RANGES_TABLE,
+      onSnapshot: (rows) => rows.forEach(apply),
+      onChanges: (changes) => {
+        for (const change of changes) {
+          if (change.kind === "written") apply(change.row);
+        }
+      },
+    };
+  }
+
+  #follow(source: RowSource, onRegained?: () => void): TableFollower {
+    const { store, clock, logger } = this.#opts;
+    return new TableFollower({
+      ...source,
+      store,
+      clock,
+      logger,
+      waitMs: FEED_WAIT_MS,
+      ...(onRegained === undefined ? {} : { onRegained }),
+    });
+  }
+}
--- /dev/null
+++ b/src/direct/direct_listener.ts
@@ -0,0 +1,213 @@
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Clock } from "../base/clock.ts";
+import type { Logger } from "../base/logger.ts";
+import type { Refusal } from "../base/refusal.ts";
+import { REFUSAL_STATUS } from "../base/refusal_status.ts";
+import { refuseBrokenRequest } from "../entry/refuse_broken_request.ts";
+import { DrainingServer } from "../links/draining_server.ts";
+import { endToEndHeaders } from "../links/end_to_end_headers.ts";
+import { hasBody } from "../links/has_body.ts";
+import type { CallerCall } from "./caller_call.ts";
+import type { CallOutcome } from "./call_outcome.ts";
+import type { DirectRouter } from "./direct_router.ts";
+import type { WireProtocol } from "./wire_protocol.ts";
+
+type Options = {
+  clock: Clock;
+  logger: Logger;
+  router: Pick<DirectRouter, "handle">;
+  protocol: WireProtocol;
+  /** Largest body, in bytes, as of now. */
+  maxBodyBytes: () => number;
+  /** For how long a drain keeps accepting connections, in milliseconds. */
+  readinessDelayMs: number;
+};
+
+/** Above the limit that operators set; theirs is checked first by callers. */
+const MAX_HEADER_BYTES = 64 * 1024;
+const HEADERS_TIMEOUT_MS = 10_000;
+const HEADERS_CHECK_MS = 1000;
+const DEFAULT_IDLE_MS = 15_000;
+/** This side closes an idle connection later than the caller does. */
+const IDLE_SLACK_MS = 2000;
+
+/** The listener for callers of a VM that sends straight to upstreams. */
+export class DirectListener {
+  readonly #opts: Options;
+  readonly #server: DrainingServer;
+
+  /**
+   * @param opts - the router, the headers, and the limits
+   */
+  constructor(opts: Options) {
+    this.#opts = opts;
+    this.#server = new DrainingServer({
+      clock: opts.clock,
+      http: {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        connectionsCheckingInterval: HEADERS_CHECK_MS,
+        requestTimeout: 0,
+        keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_SLACK_MS,
+        noDelay: true,
+      },
+      handle: (req, res, expectsContinue) =>
+        void this.#handle(req, res, expectsContinue),
+      isAuxiliary: () => false,
+    });
+    this.#server.server.on(
+      "clientError",
+      (err: NodeJS.ErrnoException, socket: Socket) => {
+        if (!socket.writable || socket.destroyed) return;
+        // An answer written now would be taken for that of a request in
+        // flight.
+        if (this.#server.requestsOn(socket) > 0) socket.destroy();
+        else refuseBrokenRequest(socket, err.code);
+      },
+    );
+  }
+
+  /**
+   * @returns whether a drain has begun
+   */
+  get draining(): boolean {
+    return this.#server.draining;
+  }
+
+  /**
+   * @param address - `IP:PORT`; port 0 lets the system choose
+   * @returns the port; rejects if the address cannot be listened on
+   */
+  listen(address: string): Promise<number> {
+    return this.#server.listen(address);
+  }
+
+  /** @param ms - how long callers may leave connections idle */
+  setIdleTimeout(ms: number): void {
+    this.#server.server.keepAliveTimeout = ms + IDLE_SLACK_MS;
+  }
+
+  /**
+   * Stops without cutting a request.
+   *
+   * @param signal - ends the wait for quiet connections
+   * @returns a promise that resolves when everything is closed
+   */
+  drain(signal: AbortSignal): Promise<void> {
+    return this.#server.drain({ minMs: this.#opts.readinessDelayMs, signal });
+  }
+
+  async #handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+    expectsContinue: boolean,
+  ): Promise<void> {
+    const { clock, protocol, router, logger } = this.#opts;
+    const receivedAt = clock.now();
+    const gone = new AbortController();
+    req.on("error", () => undefined);
+    res.once("close", () => {
+      if (!res.writableFinished) gone.abort();
+    });
+    const told = protocol.readCall(req.headers);
+    const requestId = told.requestId ?? randomUUID();
+    try {
+      if (expectsContinue) res.writeContinue();
+      const body = await readBody(req, this.#opts.maxBodyBytes());
+      if (body === "gone") return;
+      if (body === "too_large") {
+        this.#refuse(res, requestId, {
+          code: "body_too_large",
+          outcome: "not_run",
+          message: "the body is too large",
+        }, undefined);
+        return;
+      }
+      const call: CallerCall = {
+        requestId,
+        method: req.method ?? "GET",
+        target: req.url ?? "/",
+        host: req.headers.host,
+        headers: endToEndHeaders(req.rawHeaders),
+        body,
+        receivedAt,
+        deadlineMs: told.deadlineMs,
+        key: told.key,
+      };
+      this.#answer(req, res, call, await router.handle(call, gone.signal));
+    } catch (err) {
+      // A broken invariant ends one request, not the router.
+      logger.error({ err, reqId: requestId }, "request failed");
+      res.socket?.resetAndDestroy();
+      res.destroy();
+    }
+  }
+
+  #answer(
+    req: IncomingMessage,
+    res: ServerResponse,
+    call: CallerCall,
+    outcome: CallOutcome,
+  ): void {
+    switch (outcome.kind) {
+      case "gone":
+        res.destroy();
+        return;
+      case "refused":
+        this.#refuse(
+          res,
+          call.requestId,
+          outcome.refusal,
+          outcome.retryAfterMs,
+        );
+        return;
+      case "answered": {
+        if (res.destroyed) return;
+        const { status, headers, body } = outcome;
+        const bodiless = req.method === "HEAD" || status === 204 ||
+          status === 304;
+        if (!bodiless) headers["content-length"] = String(body.length);
+        res.writeHead(status, headers);
+        res.end(bodiless ? undefined : body);
+      }
+    }
+  }
+
+  #refuse(
+    res: ServerResponse,
+    requestId: string,
+    refusal: Refusal,
+    retryAfterMs: number | undefined,
+  ): void {
+    if (res.destroyed) return;
+    const text = JSON.stringify({ ...refusal, requestId });
+    res.writeHead(REFUSAL_STATUS[refusal.code], {
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(text),
+      ...this.#opts.protocol.refusalHeaders(requestId, retryAfterMs),
+    });
+    res.end(text);
+  }
+}
+
+async function readBody(
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Uint8Array | undefined | "too_large" | "gone"> {
+  if (!hasBody(req)) return undefined;
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of req as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      if (size > maxBytes) return "too_large";
+      chunks.push(chunk);
+    }
+  } catch {
+    // The caller went away before the end of its body; nobody is to be told.
+    return "gone";
+  }
+  return Buffer.concat(chunks, size);
+}
--- /dev/null
+++ b/src/direct/direct_metrics.ts
@@ -0,0 +1,60 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const LATENCY_BUCKETS_S = [
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.2,
+  0.4,
+  0.8,
+  1.5,
+  3,
+  6,
+];
+
+/** Counters and histograms of a VM, in the Prometheus text format. */
+export class DirectMetrics {
+  readonly registry = new Registry();
+  /** Callers' requests by service and how they ended. */
+  readonly requests = new Counter({
+    name: "fescuerun_requests_total",
+    help: "Requests of callers, by service and outcome.",
+    labelNames: ["service", "outcome"] as const,
+    registers: [this.registry],
+  });
+  /** From the whole request to its outcome. */
+  readonly latency = new Histogram({
+    name: "fescuerun_request_seconds",
+    help: "Time from the whole request to its outcome.",
+    labelNames: ["service"] as const,
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+  /** Sends to upstreams by service and what came of them. */
+  readonly attempts = new Counter({
+    name: "fescuerun_upstream_attempts_total",
+    help: "Requests sent to upstreams, by service and result.",
+    labelNames: ["service", "result"] as const,
+    registers: [this.registry],
+  });
+  /** Orders about keys by kind and what came of them. */
+  readonly orders = new Counter({
+    name: "fescuerun_key_orders_total",
+    help: "Grants and releases of keys, by result.",
+    labelNames: ["order", "result"] as const,
+    registers: [this.registry],
+  });
+  /** Whether this VM keeps the key ranges. */
+  readonly keeper = new Gauge({
+    name: "fescuerun_range_keeper",
+    help: "1 on the VM that assigns key ranges.",
+    registers: [this.registry],
+  });
+  /** Log lines that were left out. */
+  readonly droppedLogLines = new Counter({
+    name: "fescuerun_log_lines_dropped_total",
+    help: "Log lines left out because of the rate limit or a slow reader.",
+    registers: [this.registry],
+  });
+}
--- /dev/null
+++ b/src/direct/direct_settings.ts
@@ -0,0 +1,21 @@
+/** Settings of a VM that sends straight to upstreams. */
+export type DirectSettings = {
+  vm: string;
+  region: string;
+  failureDomain: string;
+  /** Region of each failure domain. */
+  regionOf: ReadonlyMap<string, string>;
+  /** Addresses are `IP:PORT`. */
+  listen: {
+    callers: string;
+    readiness: string;
+    peers: string;
+    metrics: string | undefined;
+  };
+  /** From the request to stop to the end of the process, in milliseconds. */
+  stopMs: number;
+  /** Bound on requests that are sent again, for all VMs together. */
+  retries: { ratio: number; windowMs: number; slack: number };
+  /** Longest lease that an upstream grants on keys, in milliseconds. */
+  maxHoldMs: number;
+};
--- /dev/null
+++ b/src/direct/load_estimate.ts
@@ -0,0 +1,121 @@
+import type { LoadReport } from "./load_report.ts";
+
+/** How fast a report of requests from other VMs loses its weight. */
+const REPORT_DECAY_MS = 600;
+/** Upstreams share their hosts; slowdowns last some hundreds of ms. */
+const SLOWDOWN_DECAY_MS = 300;
+const SLOWNESS_WEIGHT = 0.1;
+const MIN_SLOWNESS = 0.25;
+const MAX_SLOWNESS = 20;
+/** A slow upstream is tried again after this time without an answer. */
+const SLOWNESS_DECAY_MS = 6000;
+
+type Reported = LoadReport & { others: number; at: number };
+
+/**
+ * What one VM believes of an upstream's load: its own requests, which it
+ * counts, and those of the other VMs, which answers report late.
+ */
+export class LoadEstimate {
+  #slots: number;
+  #inFlight = 0;
+  #reported: Reported | undefined;
+  /** Time that work takes there, relative to the service's mean. */
+  #slowness = 1;
+  #slownessAt = 0;
+
+  /**
+   * @param slots - requests that the upstream runs at a time
+   */
+  constructor(slots: number) {
+    this.#slots = slots;
+  }
+
+  /**
+   * @returns own requests in flight
+   */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /**
+   * @returns requests that the upstream runs at a time
+   */
+  get slots(): number {
+    return this.#slots;
+  }
+
+  /** Counts a request that is being sent. */
+  onSent(): void {
+    this.#inFlight++;
+  }
+
+  /** Counts a request that has ended, in whatever way. */
+  onEnded(): void {
+    this.#inFlight--;
+  }
+
+  /**
+   * @param report - load figures of an answer whose request is still counted
+   * as in flight
+   * @param now - monotonic milliseconds
+   */
+  onReport(report: LoadReport, now: number): void {
+    this.#slots = report.slots;
+    const ahead = report.running + report.waiting;
+    const own = Math.max(0, this.#inFlight - 1);
+    this.#reported = { ...report, others: Math.max(0, ahead - own), at: now };
+  }
+
+  /**
+   * @param ratio - observed time of a request that found a free slot, relative
+   * to the mean of its service
+   * @param now - monotonic milliseconds
+   */
+  onTimed(ratio: number, now: number): void {
+    const before = this.slowness(now);
+    const next = before + SLOWNESS_WEIGHT * (ratio - before);
+    this.#slowness = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, next));
+    this.#slownessAt = now;
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns time of work there, relative to the mean of the service
+   */
+  slowness(now: number): number {
+    const age = Math.max(0, now - this.#slownessAt);
+    return 1 + (this.#slowness - 1) * Math.exp(-age / SLOWNESS_DECAY_MS);
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns requests that run or wait there, of all VMs
+   */
+  queued(now: number): number {
+    if (this.#reported === undefined) return this.#inFlight;
+    const age = now - this.#reported.at;
+    return this.#inFlight +
+      this.#reported.others * Math.exp(-age / REPORT_DECAY_MS);
+  }
+
+  /**
+   * @param workMs - mean time of the request's work at an average upstream
+   * @param now - monotonic milliseconds
+   * @returns how long a request would wait and run there, in milliseconds
+   */
+  expect(workMs: number, now: number): { waitMs: number; runMs: number } {
+    const usualMs = workMs * this.slowness(now);
+    const excess = this.queued(now) + 1 - this.#slots;
+    return {
+      waitMs: Math.max(0, excess) / this.#slots * usualMs,
+      runMs: usualMs * this.#momentarySlowdown(now),
+    };
+  }
+
+  #momentarySlowdown(now: number): number {
+    if (this.#reported === undefined) return 1;
+    const { slowdown, at } = this.#reported;
+    return 1 + (slowdown - 1) * Math.exp(-(now - at) / SLOWDOWN_DECAY_MS);
+  }
+}
--- /dev/null
+++ b/src/direct/routing_config.ts
@@ -0,0 +1,18 @@
+import { z } from "zod";
+import { Route } from "./route.ts";
+import { ServicePolicy } from "./service_policy.ts";
+
+/** One version of everything that operators configure. */
+export const RoutingConfig = z.object({
+  version: z.number().int().nonnegative(),
+  routes: z.array(Route),
+  services: z.array(ServicePolicy),
+  requests: z.object({
+    maxHeaderBytes: z.number().int().positive(),
+    maxBodyBytes: z.number().int().positive(),
+    headersTimeoutMs: z.number().positive(),
+    /** For how long a caller's connection may stay idle. */
+    idleTimeoutMs: z.number().positive(),
+  }),
+});
+export type RoutingConfig = z.infer<typeof RoutingConfig>;
--- /dev/null
+++ b/src/direct/service_policy.ts
@@ -0,0 +1,16 @@
+import { z } from "zod";
+
+/** What operators say of the upstreams of one service. */
+export const ServicePolicy = z.object({
+  name: z.string(),
+  healthPath: z.string(),
+  /** Connections that an upstream accepts from all VMs together. */
+  maxConnections: z.number().int().positive(),
+  /** How long an upstream stays cold after its start. */
+  warmUpMs: z.number().nonnegative(),
+  /** Requests a second that a cold upstream bears, from all VMs together. */
+  warmUpPerS: z.number().nonnegative(),
+  /** Whether each key is held by one upstream. */
+  keyed: z.boolean(),
+});
+export type ServicePolicy = z.infer<typeof ServicePolicy>;
--- /dev/null
+++ b/src/direct/upstream.ts
@@ -0,0 +1,71 @@
+import type { Clock } from "../base/clock.ts";
+import { UpstreamConnections } from "../upstreams/upstream_connections.ts";
+import { FailureEstimate } from "./failure_estimate.ts";
+import { LoadEstimate } from "./load_estimate.ts";
+import type { UpstreamEntry } from "./upstream_entry.ts";
+import { WarmUpPacer } from "./warm_up_pacer.ts";
+
+/** One incarnation of an upstream, as this VM knows it. */
+export class Upstream {
+  readonly load: LoadEstimate;
+  readonly failures = new FailureEstimate();
+  readonly warmUp = new WarmUpPacer();
+  readonly connections: UpstreamConnections;
+  #entry: UpstreamEntry;
+  #drainingSince: number | undefined;
+  readonly #closing = new AbortController();
+
+  /**
+   * @param entry - what the registry says
+   * @param clock - time of connections
+   */
+  constructor(entry: UpstreamEntry, clock: Clock) {
+    this.#entry = entry;
+    this.load = new LoadEstimate(entry.slots);
+    this.connections = new UpstreamConnections({
+      address: entry.address,
+      clock,
+      signal: this.#closing.signal,
+      onConnected: () => undefined,
+      onConnectFailed: () => this.failures.onUnreachable(clock.now()),
+      onAllClosed: () => undefined,
+    });
+    this.warmUp.setColdUntil(clock.now() + entry.warmUpMs);
+    if (entry.state === "draining") this.#drainingSince = clock.now();
+  }
+
+  /**
+   * @returns what the registry said last
+   */
+  get entry(): UpstreamEntry {
+    return this.#entry;
+  }
+
+  /**
+   * @returns monotonic milliseconds since when it is known to be draining
+   */
+  get drainingSince(): number | undefined {
+    return this.#drainingSince;
+  }
+
+  /**
+   * @param entry - newer entry of the same incarnation
+   * @param now - monotonic milliseconds
+   */
+  update(entry: UpstreamEntry, now: number): void {
+    this.#entry = entry;
+    if (entry.state === "draining") this.#drainingSince ??= now;
+    else this.#drainingSince = undefined;
+    this.warmUp.setColdUntil(now + entry.warmUpMs);
+  }
+
+  /** Closes idle connections; requests in flight run to their end. */
+  retire(): void {
+    this.connections.retire();
+  }
+
+  /** Closes all connections; requests in flight fail. */
+  close(): void {
+    this.#closing.abort();
+  }
+}
--- a/src/links/peer_listener.ts
+++ b/src/links/peer_listener.ts
@@ -15,13 +15,13 @@
 
   /**
    * @param opts - clock, the limits of callers' headers, the handler of `/rpc`,
-   * the server of `/hop`, and the log
+   * the server of `/hop` if requests hop between VMs, and the log
    */
   constructor(opts: {
     clock: Clock;
     requests: { maxHeaderBytes: number; headersTimeoutMs: number };
     rpc: (req: IncomingMessage, res: ServerResponse) => void;
-    hop: Pick<HopServer, "handle">;
+    hop: Pick<HopServer, "handle"> | undefined;
     logger: { error(fields: Record<string, unknown>, message: string): void };
   }) {
     this.#server = new DrainingServer({
@@ -38,7 +38,7 @@
         if (expectsContinue) res.writeContinue();
         const url = req.url ?? "";
         if (url === "/rpc") opts.rpc(req, res);
-        else if (url.startsWith("/hop/")) {
+        else if (opts.hop !== undefined && url.startsWith("/hop/")) {
           opts.hop.handle(req, res).catch((err: unknown) => {
             // A broken invariant ends one request, not the router.
             opts.logger.error({ err }, "hop request failed");
--- /dev/null
+++ b/src/ranges/keeper_lease.ts
@@ -0,0 +1,276 @@
+import { z } from "zod";
+import type { Clock } from "../base/clock.ts";
+import { ChangeNotifier } from "../base/change_notifier.ts";
+import type { Logger } from "../base/logger.ts";
+import type { RowStore } from "../rows/row_store.ts";
+import { waitForChange } from "../vms/wait_for_change.ts";
+
+const LeaseRow = z.object({
+  schema: z.literal(1),
+  vm: z.string(),
+  incarnation: z.string(),
+  peerUrl: z.string(),
+});
+type LeaseRow = z.infer<typeof LeaseRow>;
+type Options = {
+  store: RowStore;
+  table: string;
+  self: Omit<LeaseRow, "schema">;
+  clock: Clock;
+  logger: Logger;
+  signal: AbortSignal;
+};
+type Seen = { row: LeaseRow | undefined; version: number; since: number };
+
+const KEY = "keeper";
+const RENEW_MS = 500;
+/** A row that has not changed for this long belongs to a lost keeper. */
+const TTL_MS = 1500;
+/** Between two looks at the row of a keeper that does not answer. */
+const LOOK_MS = 500;
+const JITTER_MS = 150;
+/** Longest sleep of a VM that stands by. */
+const IDLE_MS = 60_000;
+/**
+ * Orders of a keeper that cannot reach the store are kept up for this long.
+ * Its successor waits as long before it takes their leases for expired.
+ */
+const GRACE_MS = 12_000;
+/** Time of day and monotonic time drift apart by this much in a freeze. */
+const FREEZE_MS = 700;
+
+/**
+ * The lease that makes one VM the keeper of key ranges. Whoever does not hold
+ * it looks at the row only while the keeper does not answer.
+ */
+export class KeeperLease {
+  /** Fires when the lease is won or lost, and when its holder changes. */
+  readonly changed = new ChangeNotifier();
+  readonly #opts: Options;
+  readonly #suspected = new ChangeNotifier();
+  #seen: Seen | undefined;
+  #suspect = true;
+  #held = false;
+  #confirmedAt = Number.NEGATIVE_INFINITY;
+  #drift = 0;
+  /** When the predecessor can have sent its last order. */
+  #predecessorEndsAt = Number.NEGATIVE_INFINITY;
+  #predecessor: LeaseRow | undefined;
+
+  /**
+   * @param opts - the store, and what others are told of this VM
+   */
+  constructor(opts: Options) {
+    this.#opts = opts;
+    this.#drift = this.#measureDrift();
+  }
+
+  /**
+   * @returns whether this VM is the keeper, as far as it knows
+   */
+  get held(): boolean {
+    return this.#held;
+  }
+
+  /**
+   * @returns whether orders may be sent: the lease was confirmed lately, and
+   * the process has not been frozen since
+   */
+  get mayOrder(): boolean {
+    if (!this.#held) return false;
+    if (Math.abs(this.#measureDrift() - this.#drift) > FREEZE_MS) return false;
+    return this.#opts.clock.now() - this.#confirmedAt < GRACE_MS;
+  }
+
+  /**
+   * @returns monotonic milliseconds after which no earlier keeper sends orders
+   */
+  get predecessorEndsAt(): number {
+    return this.#predecessorEndsAt;
+  }
+
+  /**
+   * @returns the keeper's peer URL, undefined if there is none or it is this VM
+   */
+  get keeperUrl(): string | undefined {
+    const row = this.#seen?.row;
+    return this.#held || row?.incarnation === this.#opts.self.incarnation
+      ? undefined
+      : row?.peerUrl;
+  }
+
+  /** The keeper does not answer. */
+  suspect(): void {
+    this.#suspect = true;
+    this.#suspected.notify();
+  }
+
+  /**
+   * A process of another VM has been seen.
+   *
+   * @param vm - name of the VM
+   * @param incarnation - its present life; earlier ones have ended
+   */
+  onPeer(vm: string, incarnation: string): void {
+    const before = this.#predecessor;
+    if (before?.vm !== vm || before.incarnation === incarnation) return;
+    this.#predecessor = undefined;
+    this.#predecessorEndsAt = Math.min(
+      this.#predecessorEndsAt,
+      this.#opts.clock.now(),
+    );
+  }
+
+  /** Holds the lease, or stands by, until the signal aborts. */
+  async run(): Promise<void> {
+    const { clock, signal } = this.#opts;
+    while (!signal.aborted) {
+      if (this.#held) {
+        await this.#renew();
+        await clock.sleep(RENEW_MS, signal);
+      } else if (this.#suspect) {
+        await this.#contend();
+        if (this.#held) continue;
+        await clock.sleep(LOOK_MS + Math.random() * JITTER_MS, signal);
+      } else {
+        await waitForChange({
+          clock,
+          ms: IDLE_MS,
+          notifiers: [this.#suspected],
+        }, signal);
+      }
+    }
+  }
+
+  /** Gives the lease up, so that another VM need not wait for its end. */
+  async release(): Promise<void> {
+    if (!this.#held) return;
+    const { store, table, logger } = this.#opts;
+    const version = this.#seen?.version ?? 0;
+    this.#lose("given up");
+    const removed = await store.transact({
+      expect: [{ table, key: KEY, version }],
+      writes: [],
+      remove: [{ table, key: KEY }],
+    }, AbortSignal.timeout(TTL_MS));
+    if (removed.isErr()) {
+      logger.warn({ err: removed.error }, "keeper lease not given up");
+    }
+  }
+
+  #measureDrift(): number {
+    const { clock } = this.#opts;
+    return clock.wallTime().getTime() - clock.now();
+  }
+
+  async #renew(): Promise<void> {
+    const { clock } = this.#opts;
+    const startedAt = clock.now();
+    const drift = this.#measureDrift();
+    const outcome = await this.#write(this.#seen?.version ?? 0);
+    switch (outcome.kind) {
+      case "applied":
+        this.#confirmedAt = startedAt;
+        this.#drift = drift;
+        return;
+      case "conflict": {
+        // An earlier renewal whose answer was lost may have been applied.
+        const row = await this.#look();
+        if (row === "unknown") return;
+        if (row?.incarnation !== this.#opts.self.incarnation) {
+          this.#lose("another VM has it");
+        }
+        return;
+      }
+      case "unknown":
+        return;
+    }
+  }
+
+  async #contend(): Promise<void> {
+    const { clock, self, logger } = this.#opts;
+    const before = this.#seen;
+    const row = await this.#look();
+    if (row === "unknown") return;
+    const seen = this.#seen;
+    if (seen === undefined) return;
+    if (row !== undefined && before?.version !== seen.version) {
+      // The keeper is alive, or was when this row was written.
+      if (before?.row?.incarnation !== row.incarnation) {
+        this.#suspect = false;
+        this.changed.notify();
+        logger.info({ keeper: row.vm, version: seen.version }, "keeper found");
+      } else if (before !== undefined) this.#suspect = false;
+    }
+    const ownEarlier = row?.vm === self.vm;
+    const expired = row === undefined || ownEarlier ||
+      clock.now() - seen.since >= TTL_MS;
+    if (!expired) return;
+    const outcome = await this.#write(seen.version);
+    if (outcome.kind !== "applied") return;
+    const now = clock.now();
+    this.#held = true;
+    this.#suspect = false;
+    this.#confirmedAt = now;
+    this.#drift = this.#measureDrift();
+    this.#predecessor = ownEarlier ? undefined : row;
+    this.#predecessorEndsAt = row === undefined || ownEarlier
+      ? now
+      : now + GRACE_MS;
+    logger.info(
+      { version: this.#seen?.version, predecessor: row?.vm },
+      "keeper lease won",
+    );
+    this.changed.notify();
+  }
+
+  async #look(): Promise<LeaseRow | undefined | "unknown"> {
+    const { store, table, clock, signal } = this.#opts;
+    const read = await store.readTable(table, signal);
+    if (read.isErr()) return "unknown";
+    const found = read.value.rows.find((row) => row.key === KEY);
+    const row = found === undefined ? undefined : parseRow(found.value);
+    const version = found?.version ?? 0;
+    if (this.#seen?.version !== version || this.#seen.row === undefined) {
+      this.#seen = { row, version, since: clock.now() };
+    }
+    return row;
+  }
+
+  async #write(
+    version: number,
+  ): Promise<{ kind: "applied" | "conflict" | "unknown" }> {
+    const { store, table, self, clock, signal, logger } = this.#opts;
+    const row: LeaseRow = { schema: 1, ...self };
+    const outcome = await store.transact({
+      expect: [{ table, key: KEY, version }],
+      writes: [{ table, key: KEY, value: Buffer.from(JSON.stringify(row)) }],
+      remove: [],
+    }, signal);
+    if (outcome.isErr()) {
+      logger.warn({ err: outcome.error }, "keeper lease not written");
+      return { kind: "unknown" };
+    }
+    if (outcome.value.kind === "conflict") return { kind: "conflict" };
+    this.#seen = { row, version: outcome.value.version, since: clock.now() };
+    return { kind: "applied" };
+  }
+
+  #lose(reason: string): void {
+    this.#held = false;
+    this.#suspect = true;
+    this.#opts.logger.warn({ reason }, "keeper lease lost");
+    this.changed.notify();
+  }
+}
+
+function parseRow(value: Uint8Array): LeaseRow | undefined {
+  try {
+    const parsed = LeaseRow.safeParse(
+      JSON.parse(Buffer.from(value).toString("utf8")),
+    );
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/ranges/key_report.ts
@@ -0,0 +1,21 @@
+import { z } from "zod";
+
+/** What a VM tells the keeper, and the keeper's answer. */
+export const KeyReport = {
+  method: "ranges.report",
+  params: z.object({
+    vm: z.string(),
+    incarnation: z.string(),
+    /** Requests for keys since the last report, by service. */
+    counts: z.record(
+      z.string(),
+      z.array(z.tuple([z.number().int(), z.number().int()])),
+    ),
+  }),
+  result: z.object({
+    /** Whether the called VM is the keeper. */
+    keeper: z.boolean(),
+    /** VMs that have reported lately, the keeper included. */
+    vms: z.number().int(),
+  }),
+};
--- /dev/null
+++ b/src/ranges/plan_ranges.ts
@@ -0,0 +1,347 @@
+import type { KeyRange } from "./key_range.ts";
+import type { RangeDocument } from "./range_document.ts";
+
+type Holder = {
+  id: string;
+  incarnation: number;
+  /** Whether it may get keys. */
+  usable: boolean;
+  /** Requests a second that it bears in the long run. */
+  capacityPerS: number;
+  /** Requests a second that it bears now; less than `capacityPerS` if cold. */
+  limitPerS: number;
+};
+type Input = {
+  document: RangeDocument | undefined;
+  holders: readonly Holder[];
+  /** Keys and their requests a second, in ascending order of keys. */
+  rates: readonly (readonly [number, number])[];
+};
+type Loaded = Holder & { perS: number; ranges: number };
+
+const KEYS = 65_536;
+/** Keys without recent requests share this part of the observed rate. */
+const IDLE_PART = 0.2;
+/** Rate of all keys together when there are no requests. */
+const IDLE_PER_S = 1;
+/** An upstream above this part of its capacity may hand keys over. */
+const BUSY_PART = 0.5;
+/** It must be this far above the mean, in parts of the mean. */
+const MIN_EXCESS_PART = 0.3;
+/** The rates are means of about this many seconds. */
+const SAMPLE_S = 3;
+/** Standard errors by which an excess must differ from chance. */
+const SURE_ERRORS = 1.5;
+/** Moves for the sake of balance that begin at the same time. */
+const MAX_MOVES = 2;
+/** A lost owner's keys go to up to this many others. */
+const MAX_PIECES = 3;
+/** A new upstream starts with this part of the mean. */
+const NEW_PART = 0.5;
+
+/** The load that ranges put on their owners. */
+class Loads {
+  readonly #keys: readonly number[];
+  readonly #sums: readonly number[];
+  readonly #idlePerKey: number;
+  readonly total: number;
+
+  constructor(rates: Input["rates"]) {
+    this.#keys = rates.map(([key]) => key);
+    const sums = [0];
+    for (const [, rate] of rates) sums.push((sums.at(-1) ?? 0) + rate);
+    this.#sums = sums;
+    const observed = sums.at(-1) ?? 0;
+    const idle = IDLE_PER_S + IDLE_PART * observed;
+    this.#idlePerKey = idle / KEYS;
+    this.total = observed + idle;
+  }
+
+  /** Requests a second for the keys from `first` to `last`. */
+  of(first: number, last: number): number {
+    const from = lowerBound(this.#keys, first);
+    const to = lowerBound(this.#keys, last + 1);
+    const observed = (this.#sums[to] ?? 0) - (this.#sums[from] ?? 0);
+    return observed + (last - first + 1) * this.#idlePerKey;
+  }
+
+  /** The last key of the least part from `first` on with a given load. */
+  cut(first: number, last: number, perS: number): number {
+    let low = first;
+    let high = last;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (this.of(first, middle) < perS) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+}
+
+function lowerBound(keys: readonly number[], key: number): number {
+  let low = 0;
+  let high = keys.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((keys[middle] ?? Infinity) < key) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
+/** One round of planning; ranges stay in ascending order. */
+class Plan {
+  readonly #loads: Loads;
+  readonly #holders: Map<string, Loaded>;
+  #ranges: KeyRange[];
+  #nextFence: number;
+  changed = false;
+
+  constructor({ document, holders, rates }: Input) {
+    this.#loads = new Loads(rates);
+    this.#ranges = [...document?.ranges ?? []];
+    this.#nextFence = document?.nextFence ?? 1;
+    this.#holders = new Map(
+      holders.map((one) => [one.id, { ...one, perS: 0, ranges: 0 }]),
+    );
+    for (const range of this.#ranges) this.#count(range, 1);
+  }
+
+  get document(): RangeDocument {
+    return { schema: 1, nextFence: this.#nextFence, ranges: this.#ranges };
+  }
+
+  /** Deals all keys evenly to upstreams that have none. */
+  dealAll(): void {
+    const usable = this.#usable();
+    if (this.#ranges.length > 0 || usable.length === 0) return;
+    const total = usable.reduce((sum, one) => sum + one.capacityPerS, 0);
+    let first = 0;
+    let dealt = 0;
+    for (const [index, holder] of usable.entries()) {
+      dealt += holder.capacityPerS;
+      const last = index === usable.length - 1
+        ? KEYS - 1
+        : Math.max(first, Math.round(KEYS * dealt / total) - 1);
+      const range: KeyRange = {
+        first,
+        last,
+        owner: { id: holder.id, incarnation: holder.incarnation },
+        fence: this.#nextFence++,
+        previous: [],
+      };
+      this.#ranges.push(range);
+      this.#count(range, 1);
+      first = last + 1;
+    }
+    this.changed = true;
+  }
+
+  /** Finds new owners for keys whose owners may not keep them. */
+  replaceOwners(): void {
+    const usable = this.#usable();
+    if (usable.length === 0) return;
+    const mean = this.#loads.total / usable.length;
+    for (const range of [...this.#ranges]) {
+      if (this.#owner(range)?.usable === true) continue;
+      let { first } = range;
+      const load = this.#loads.of(first, range.last);
+      const pieces = Math.min(
+        MAX_PIECES,
+        usable.length,
+        Math.max(1, Math.ceil(load / (mean / 2))),
+      );
+      for (let piece = 1; piece <= pieces && first <= range.last; piece++) {
+        const last = piece === pieces
+          ? range.last
+          : this.#loads.cut(first, range.last, load / pieces);
+        this.#move(first, last, this.#lightest());
+        first = last + 1;
+      }
+    }
+  }
+
+  /** Gives keys to upstreams that have none. */
+  useNewHolders(): void {
+    const usable = this.#usable();
+    const mean = this.#loads.total / Math.max(1, usable.length);
+    for (const holder of usable) {
+      if (holder.ranges > 0) continue;
+      const heaviest = this.#heaviest();
+      if (heaviest === undefined || heaviest === holder) return;
+      const wanted = Math.min(mean * NEW_PART, holder.limitPerS / 2);
+      this.#shift(heaviest, holder, wanted);
+    }
+  }
+
+  /** Moves load from busy upstreams to others. */
+  balance(): void {
+    for (let move = 0; move < MAX_MOVES; move++) {
+      const from = this.#heaviest();
+      if (from === undefined) return;
+      const others = this.#usable().filter((one) =>
+        one !== from && one.perS < one.limitPerS * BUSY_PART
+      );
+      const to = lightest(others);
+      if (to === undefined) return;
+      const part = this.#utilization();
+      const fair = from.capacityPerS * part;
+      const excess = from.perS - fair;
+      const error = Math.sqrt(fair / SAMPLE_S);
+      if (
+        from.perS < from.capacityPerS * BUSY_PART ||
+        excess < MIN_EXCESS_PART * fair || excess < SURE_ERRORS * error
+      ) return;
+      const room = to.limitPerS * Math.max(part, BUSY_PART) - to.perS;
+      const wanted = Math.min(excess, room, (from.perS - to.perS) / 2);
+      if (wanted <= 0 || !this.#shift(from, to, wanted)) return;
+    }
+  }
+
+  /** Joins neighbours with the same owner under one grant. */
+  merge(): void {
+    const merged: KeyRange[] = [];
+    for (const range of this.#ranges) {
+      const before = merged.at(-1);
+      if (
+        before !== undefined && before.last + 1 === range.first &&
+        before.owner.id === range.owner.id &&
+        before.owner.incarnation === range.owner.incarnation &&
+        before.previous.length === 0 && range.previous.length === 0
+      ) {
+        merged.pop();
+        merged.push({
+          ...before,
+          last: range.last,
+          fence: this.#nextFence++,
+        });
+        this.changed = true;
+      } else merged.push(range);
+    }
+    this.#ranges = merged;
+  }
+
+  #usable(): Loaded[] {
+    return [...this.#holders.values()].filter((one) => one.usable);
+  }
+
+  #utilization(): number {
+    const capacity = this.#usable().reduce(
+      (sum, one) => sum + one.capacityPerS,
+      0,
+    );
+    return this.#loads.total / Math.max(1e-9, capacity);
+  }
+
+  #lightest(): Loaded {
+    const found = lightest(this.#usable());
+    if (found === undefined) throw new Error("no upstream may get keys");
+    return found;
+  }
+
+  #heaviest(): Loaded | undefined {
+    let found: Loaded | undefined;
+    for (const one of this.#usable()) {
+      if (one.ranges === 0) continue;
+      if (found === undefined || part(one) > part(found)) found = one;
+    }
+    return found;
+  }
+
+  #owner(range: KeyRange): Loaded | undefined {
+    const holder = this.#holders.get(range.owner.id);
+    return holder?.incarnation === range.owner.incarnation ? holder : undefined;
+  }
+
+  #count(range: KeyRange, sign: 1 | -1): void {
+    const holder = this.#owner(range);
+    if (holder === undefined) return;
+    holder.perS += sign * this.#loads.of(range.first, range.last);
+    holder.ranges += sign;
+  }
+
+  /** Moves about `perS` of load from the busiest range of `from`. */
+  #shift(from: Loaded, to: Loaded, perS: number): boolean {
+    let busiest: KeyRange | undefined;
+    let most = 0;
+    for (const range of this.#ranges) {
+      if (this.#owner(range) !== from || range.previous.length > 0) continue;
+      const load = this.#loads.of(range.first, range.last);
+      if (load > most) {
+        busiest = range;
+        most = load;
+      }
+    }
+    if (busiest === undefined || busiest.first === busiest.last) return false;
+    const { first, last } = busiest;
+    const cut = Math.min(last - 1, this.#loads.cut(first, last, perS));
+    const moved = this.#loads.of(first, cut);
+    // A single key can weigh more than what is to move.
+    if (moved > 2 * perS && moved > most / 2) {
+      this.#move(cut + 1, last, to);
+    } else this.#move(first, cut, to);
+    return true;
+  }
+
+  /** Gives the keys from `first` to `last`, all in one range, to `to`. */
+  #move(first: number, last: number, to: Loaded): void {
+    const index = this.#ranges.findIndex((range) =>
+      range.first <= first && last <= range.last
+    );
+    const whole = this.#ranges[index];
+    if (whole === undefined) throw new Error("keys of several ranges");
+    const { owner, fence, previous } = whole;
+    const moved: KeyRange = {
+      first,
+      last,
+      owner: { id: to.id, incarnation: to.incarnation },
+      fence: this.#nextFence++,
+      previous: [...previous, { ...owner, fence }],
+    };
+    const left = { ...whole, last: first - 1 };
+    const right = { ...whole, first: last + 1 };
+    const parts = [
+      ...(left.first <= left.last ? [left] : []),
+      moved,
+      ...(right.first <= right.last ? [right] : []),
+    ];
+    this.#count(whole, -1);
+    this.#ranges.splice(index, 1, ...parts);
+    for (const one of parts) this.#count(one, 1);
+    this.changed = true;
+  }
+}
+
+function part(holder: Loaded): number {
+  return holder.perS / Math.max(1e-9, holder.capacityPerS);
+}
+
+function lightest(holders: readonly Loaded[]): Loaded | undefined {
+  let found: Loaded | undefined;
+  for (const one of holders) {
+    const used = one.perS / Math.max(1e-9, one.limitPerS);
+    if (
+      found === undefined ||
+      used < found.perS / Math.max(1e-9, found.limitPerS)
+    ) found = one;
+  }
+  return found;
+}
+
+/**
+ * Plans who owns which keys: keys of owners that leave get others, new
+ * upstreams get some, and upstreams near what they bear hand some over. Busy
+ * keys are neighbours, so ranges are cut where half of the excess lies.
+ *
+ * @param input - present owners, the upstreams, and the rates of keys
+ * @returns the new document, or undefined if nothing changes
+ */
+export function planRanges(input: Input): RangeDocument | undefined {
+  const plan = new Plan(input);
+  plan.dealAll();
+  plan.replaceOwners();
+  plan.useNewHolders();
+  plan.balance();
+  plan.merge();
+  return plan.changed ? plan.document : undefined;
+}
--- /dev/null
+++ b/src/ranges/range_keeper.ts
@@ -0,0 +1,183 @@
+import type { Clock } from "../base/clock.ts";
+import type { Logger } from "../base/logger.ts";
+import type { DirectMetrics } from "../direct/direct_metrics.ts";
+import type { FleetView } from "../direct/fleet_view.ts";
+import type { RpcHandler } from "../links/rpc_handler.ts";
+import type { RowStore } from "../rows/row_store.ts";
+import type { PeerClient } from "../vms/peer_client.ts";
+import { waitForChange } from "../vms/wait_for_change.ts";
+import type { KeeperLease } from "./keeper_lease.ts";
+import { KeyLoad } from "./key_load.ts";
+import { KeyReport } from "./key_report.ts";
+import type { RangeGrants } from "./range_grants.ts";
+import { ServiceRanges } from "./service_ranges.ts";
+
+type Options = {
+  store: RowStore;
+  table: string;
+  self: { vm: string; incarnation: string };
+  view: FleetView;
+  lease: KeeperLease;
+  grants: RangeGrants;
+  peers: PeerClient;
+  /** @returns mean time of a service's work, in milliseconds */
+  workMs: (service: string) => number;
+  clock: Clock;
+  logger: Logger;
+  metrics: DirectMetrics;
+  holdMs: number;
+  signal: AbortSignal;
+};
+type Counts = Map<string, Map<number, number>>;
+
+const REPORT_MS = 700;
+const REPORT_TIMEOUT_MS = 900;
+/** A VM that has not reported for this long is not counted. */
+const REPORTER_MS = 2500;
+
+/**
+ * Keeps the key ranges while this VM has the lease, and reports the rates of
+ * keys to the keeper while another one has it.
+ */
+export class RangeKeeper {
+  /** Takes reports of other VMs. */
+  readonly handler: RpcHandler;
+  readonly #opts: Options;
+  #counts: Counts = new Map();
+  #loads = new Map<string, KeyLoad>();
+  readonly #reporters = new Map<string, number>();
+
+  /**
+   * @param opts - lease, store, upstreams and peers
+   */
+  constructor(opts: Options) {
+    this.#opts = opts;
+    this.handler = {
+      method: KeyReport.method,
+      params: KeyReport.params,
+      handle: (params) =>
+        Promise.resolve(this.#onReport(KeyReport.params.parse(params))),
+    };
+  }
+
+  /**
+   * Counts a request.
+   *
+   * @param service - a service that is divided by key
+   * @param key - number of the key
+   */
+  onKey(service: string, key: number): void {
+    let keys = this.#counts.get(service);
+    if (keys === undefined) {
+      keys = new Map();
+      this.#counts.set(service, keys);
+    }
+    keys.set(key, (keys.get(key) ?? 0) + 1);
+  }
+
+  /** Reports, and keeps ranges while the lease is held. */
+  async run(): Promise<void> {
+    await Promise.all([this.#keep(), this.#report()]);
+  }
+
+  async #keep(): Promise<void> {
+    const { lease, clock, signal, view, metrics } = this.#opts;
+    const notifiers = [lease.changed, view.changed];
+    let term: AbortController | undefined;
+    let services = new Set<string>();
+    while (!signal.aborted) {
+      if (lease.held && term === undefined) {
+        term = new AbortController();
+        services = new Set();
+        this.#loads = new Map();
+      } else if (!lease.held && term !== undefined) {
+        term.abort();
+        term = undefined;
+      }
+      metrics.keeper.set(term === undefined ? 0 : 1);
+      for (const { name, keyed } of view.config?.services ?? []) {
+        if (term === undefined || !keyed || services.has(name)) continue;
+        services.add(name);
+        void this.#service(name).run(term.signal);
+      }
+      await waitForChange({ clock, ms: REPORT_MS, notifiers }, signal);
+    }
+    term?.abort();
+  }
+
+  #service(service: string): ServiceRanges {
+    const { workMs } = this.#opts;
+    return new ServiceRanges({
+      ...this.#opts,
+      service,
+      load: this.#load(service),
+      workMs: () => workMs(service),
+    });
+  }
+
+  #load(service: string): KeyLoad {
+    let load = this.#loads.get(service);
+    if (load === undefined) {
+      load = new KeyLoad(this.#opts.clock.now());
+      this.#loads.set(service, load);
+    }
+    return load;
+  }
+
+  async #report(): Promise<void> {
+    const { lease, clock, signal, self } = this.#opts;
+    while (!signal.aborted) {
+      const counts: Record<string, [number, number][]> = {};
+      for (const [service, keys] of this.#counts) counts[service] = [...keys];
+      this.#counts = new Map();
+      const report = { ...self, counts };
+      if (lease.held) this.#onReport(report);
+      else await this.#send(report);
+      await clock.sleep(REPORT_MS, signal);
+    }
+  }
+
+  async #send(report: ReturnType<typeof KeyReport.params.parse>): Promise<void> {
+    const { lease, peers, signal, view, logger } = this.#opts;
+    const { keeperUrl } = lease;
+    if (keeperUrl === undefined) {
+      lease.suspect();
+      return;
+    }
+    const answer = await peers.call({
+      peerUrl: keeperUrl,
+      method: KeyReport.method,
+      params: report,
+      result: KeyReport.result,
+      timeoutMs: REPORT_TIMEOUT_MS,
+    }, signal);
+    if (answer.isErr() || !answer.value.keeper) {
+      logger.debug({
+        keeperUrl,
+        err: answer.isErr() ? answer.error : undefined,
+      }, "keeper does not answer");
+      lease.suspect();
+      return;
+    }
+    view.setVms(answer.value.vms);
+  }
+
+  #onReport(
+    report: ReturnType<typeof KeyReport.params.parse>,
+  ): ReturnType<typeof KeyReport.result.parse> {
+    const { lease, clock, view } = this.#opts;
+    const now = clock.now();
+    lease.onPeer(report.vm, report.incarnation);
+    if (!lease.held) return { keeper: false, vms: view.vms };
+    this.#reporters.set(report.vm, now);
+    for (const [vm, at] of this.#reporters) {
+      if (now - at > REPORTER_MS) this.#reporters.delete(vm);
+    }
+    for (const [service, counts] of Object.entries(report.counts)) {
+      this.#load(service).add(counts, now);
+    }
+    const vms = this.#reporters.size;
+    view.setVms(vms);
+    return { keeper: true, vms };
+  }
+}
--- /dev/null
+++ b/src/ranges/range_table.ts
@@ -0,0 +1,33 @@
+import type { KeyRange } from "./key_range.ts";
+import type { RangeDocument } from "./range_document.ts";
+
+/** The believed owners of a service's keys. */
+export class RangeTable {
+  /**
+   * @param version - version of the row
+   * @param document - contents of the row
+   */
+  constructor(
+    readonly version: number,
+    readonly document: RangeDocument,
+  ) {}
+
+  /**
+   * @param key - a key
+   * @returns the range that contains it, or undefined if nobody owns it
+   */
+  find(key: number): KeyRange | undefined {
+    const { ranges } = this.document;
+    let low = 0;
+    let high = ranges.length - 1;
+    while (low <= high) {
+      const middle = (low + high) >> 1;
+      const range = ranges[middle];
+      if (range === undefined) return undefined;
+      if (key < range.first) high = middle - 1;
+      else if (key > range.last) low = middle + 1;
+      else return range;
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/rows/row.ts
@@ -0,0 +1,11 @@
+import { z } from "zod";
+
+/** A row of a versioned table. */
+export const Row = z.object({
+  table: z.string(),
+  key: z.string(),
+  value: z.instanceof(Uint8Array),
+  /** Position of the last change in the store's only counter. */
+  version: z.number(),
+});
+export type Row = z.infer<typeof Row>;
--- a/src/upstreams/upstream_connections.ts
+++ b/src/upstreams/upstream_connections.ts
@@ -38,6 +38,7 @@
   #idle: Idle[] = [];
   readonly #busy = new Set<UpstreamConnection>();
   readonly #timer: DueTimer;
+  #retired = false;
 
   /**
    * @param options - where to connect, and whom to tell
@@ -95,7 +96,7 @@
    */
   release(connection: UpstreamConnection): void {
     if (!this.#busy.delete(connection)) return;
-    if (!connection.established) {
+    if (!connection.established || this.#retired) {
       this.#remove(connection);
       return;
     }
@@ -119,6 +120,12 @@
     if (reset) this.#closedByUpstream(true);
   }
 
+  /** Closes idle connections now, and others as soon as they are released. */
+  retire(): void {
+    this.#retired = true;
+    for (const { connection } of [...this.#idle]) this.#remove(connection);
+  }
+
   /** Closes every connection; requests on them fail. */
   destroyAll(): void {
     for (const connection of this.#all) this.#remove(connection);
