fix(direct): hold rules under a cut store, a stop, a crash and a cold start

Ruled out: the signature tells nothing that may be relied on. - LOST: a stopping VM took requests on idle connections until it was killed. - FAILBACK: the first requests of all VMs to a cold upstream came together. - Keys lapsed: a keeper that could not write stopped renewing; it still answered reports, so that nobody took over. - OWNER: a returned keeper planned before it saw that it was replaced. Change: unframed answers stay unframed; idle connections close at half of the stop; the first send to a cold upstream has a random phase; renewals go on from the last known owners; only a confirmed keeper plans and counts leases out.

--- a/src/base/bounded_log_stream.ts
+++ b/src/base/bounded_log_stream.ts
@@ -66,7 +66,9 @@
     this.#opts.onDropped(dropped);
     const time = this.#opts.clock.wallTime().toISOString();
     this.#push(
-      `${JSON.stringify({ level: 40, time, dropped, msg: "lines left out" })}\n`,
+      `${
+        JSON.stringify({ level: 40, time, dropped, msg: "lines left out" })
+      }\n`,
     );
   }
 
--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -105,7 +105,9 @@
       const read = await readBody(body);
       if (answer.notExecuted) return { kind: "rejected", status, answer };
       if (read instanceof Error) return { kind: "lost", reason: read.message };
-      return { kind: "answered", status, headers, body: read, answer };
+      const framed = headers["content-length"] !== undefined ||
+        headers["transfer-encoding"] !== undefined;
+      return { kind: "answered", status, headers, body: read, framed, answer };
     }
   }
 }
--- a/src/direct/attempt_result.ts
+++ b/src/direct/attempt_result.ts
@@ -8,6 +8,11 @@
     status: number;
     headers: Record<string, string | string[] | undefined>;
     body: Uint8Array;
+    /**
+     * Whether the upstream told where the body ends. Otherwise the connection's
+     * end was the body's, and a body that was cut short looks the same.
+     */
+    framed: boolean;
     answer: UpstreamAnswer;
   }
   /** The upstream has not run the request and says so. */
--- a/src/direct/call_outcome.ts
+++ b/src/direct/call_outcome.ts
@@ -7,6 +7,8 @@
     status: number;
     headers: Record<string, string | string[]>;
     body: Uint8Array;
+    /** Whether it is certain that the body is whole. */
+    framed: boolean;
   }
   | { kind: "refused"; refusal: Refusal; retryAfterMs: number | undefined }
   /** The caller has left. */
--- a/src/direct/choose_upstream.ts
+++ b/src/direct/choose_upstream.ts
@@ -86,9 +86,9 @@
       : unavailable("key waits for the lease of a lost owner");
   }
   const owner = view.upstream(range.owner.id);
-  if (
-    owner === undefined || owner.entry.incarnation !== range.owner.incarnation
-  ) return unavailable("owner of the key is gone");
+  if (owner?.entry.incarnation !== range.owner.incarnation) {
+    return unavailable("owner of the key is gone");
+  }
   // Until its keys move, a leaving owner is the only one who can serve them.
   if (!view.isUsable(owner) && view.leavingMs(owner) > LEAVING_OWNER_MS) {
     return { kind: "wait", ms: MOVE_WAIT_MS, reason: "owner is leaving" };
--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -49,13 +49,20 @@
  * which is what keeps changes in force within 2.5 s when a connection dies.
  */
 const FEED_WAIT_MS = 3000;
+/** Calls to the store are billed; a tenth of the time for changes (2.5 s). */
+const GATHER_MS = 250;
+/** Callers wait for keys that move. */
+const GATHER_OWNERS_MS = 40;
 /** Number of VMs until the keeper has counted them. */
 const ASSUMED_VMS = 12;
 const DEFAULT_BODY_BYTES = 1024 * 1024;
 /** Readiness must have failed twice, a second apart, before a VM is left out. */
 const READINESS_DELAY_MS = 2600;
-/** Left of the time to stop when idle connections are closed. */
-const STOP_RESERVE_MS = 1500;
+/**
+ * Part of the time to stop after which no request is taken any more. The rest
+ * is for requests in flight.
+ */
+const TAKING_PART = 0.5;
 /** Keys without owners do not keep a VM from being ready for longer. */
 const OWNERS_WAIT_MS = 6000;
 /** Fits twice into the time that a new keeper takes to be found. */
@@ -95,12 +102,13 @@
     });
     this.#view = view;
     const sources = opts.sources(view);
-    this.#operators = this.#follow(sources.operators);
+    this.#operators = this.#follow(sources.operators, GATHER_MS);
     this.#registry = this.#follow(
       sources.registry,
+      GATHER_MS,
       () => view.onRegistryRegained(),
     );
-    this.#ranges = this.#follow(this.#rangeSource());
+    this.#ranges = this.#follow(this.#rangeSource(), GATHER_OWNERS_MS);
     const self = { vm: cfg.vm, incarnation: randomUUID() };
     this.#lease = new KeeperLease({
       store,
@@ -214,9 +222,7 @@
   async #stop(): Promise<void> {
     const { cfg, logger } = this.#opts;
     logger.info({ stopMs: cfg.stopMs }, "graceful stop begins");
-    const quiet = AbortSignal.timeout(
-      Math.max(0, cfg.stopMs - STOP_RESERVE_MS),
-    );
+    const quiet = AbortSignal.timeout(cfg.stopMs * TAKING_PART);
     await Promise.all([this.#callers.drain(quiet), this.#lease.release()]);
     this.#end.abort();
     this.#peers.close();
@@ -240,9 +246,10 @@
     const { clock, logger } = this.#opts;
     const { config } = this.#view;
     const known = config !== undefined && this.#registry.synced;
-    const owned = config?.services.every(({ name, keyed }) =>
-      !keyed || this.#view.ranges(name) !== undefined
-    ) ?? false;
+    const owned =
+      config?.services.every(({ name, keyed }) =>
+        !keyed || this.#view.ranges(name) !== undefined
+      ) ?? false;
     const waited = clock.now() - this.#startedAt > OWNERS_WAIT_MS;
     const ready = known && (owned || waited) && !this.#callers.draining;
     if (ready !== this.#ready) {
@@ -269,7 +276,11 @@
     };
   }
 
-  #follow(source: RowSource, onRegained?: () => void): TableFollower {
+  #follow(
+    source: RowSource,
+    gatherMs: number,
+    onRegained?: () => void,
+  ): TableFollower {
     const { store, clock, logger } = this.#opts;
     return new TableFollower({
       ...source,
@@ -277,6 +288,7 @@
       clock,
       logger,
       waitMs: FEED_WAIT_MS,
+      gatherMs,
       ...(onRegained === undefined ? {} : { onRegained }),
     });
   }
--- a/src/direct/direct_listener.ts
+++ b/src/direct/direct_listener.ts
@@ -165,10 +165,17 @@
         return;
       case "answered": {
         if (res.destroyed) return;
-        const { status, headers, body } = outcome;
+        const { status, headers, body, framed } = outcome;
         const bodiless = req.method === "HEAD" || status === 204 ||
           status === 304;
-        if (!bodiless) headers["content-length"] = String(body.length);
+        if (framed && !bodiless) {
+          headers["content-length"] = String(body.length);
+        } else if (!bodiless) {
+          // A body that may have been cut short is not given a length that
+          // would make it look whole.
+          res.shouldKeepAlive = false;
+          res.removeHeader("transfer-encoding");
+        }
         res.writeHead(status, headers);
         res.end(bodiless ? undefined : body);
       }
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -59,6 +59,8 @@
 /** When a second upstream is asked, in parts of the objective. */
 const HEDGE_OBJECTIVE_PART = 0.55;
 const HEDGE_EXPECTED_FACTOR = 2.5;
+/** When a refused caller may return, if nothing better is known. */
+const DEFAULT_RETRY_MS = 250;
 const CONNECTIONS_PART = 0.8;
 const MIN_CONNECTIONS = 2;
 
@@ -114,8 +116,9 @@
   async #serve(state: Call, gone: AbortSignal): Promise<CallOutcome> {
     const { clock } = this.#opts;
     let misdirected = 0;
+    const isGone = () => gone.aborted;
     for (;;) {
-      if (gone.aborted) return { kind: "gone" };
+      if (isGone()) return { kind: "gone" };
       if (clock.now() >= state.deadlineAt) return this.#late(state);
       const choice = this.#choose(state);
       switch (choice.kind) {
@@ -136,7 +139,7 @@
           break;
       }
       const { upstream, result } = await this.#send(state, choice, gone);
-      if (gone.aborted) return { kind: "gone" };
+      if (isGone()) return { kind: "gone" };
       const verdict = judgeResult(result);
       state.steps.push(`${upstream.entry.id}: ${verdict.text}`);
       switch (verdict.kind) {
@@ -318,6 +321,7 @@
       status: result.status,
       headers,
       body: result.body,
+      framed: result.framed,
     };
   }
 
@@ -355,7 +359,9 @@
         outcome: state.mayHaveRun ? "outcome_unknown" : "not_run",
         message,
       },
-      retryAfterMs: state.mayHaveRun ? undefined : retryAfterMs,
+      retryAfterMs: state.mayHaveRun
+        ? undefined
+        : retryAfterMs ?? DEFAULT_RETRY_MS,
     };
   }
 
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -192,6 +192,7 @@
       // Evacuated upstreams may have become cold without saying so.
       upstream.warmUp.setColdUntil(
         now + (this.policy(service)?.warmUpMs ?? 0),
+        now,
       );
     }
     this.#opts.logger.info(
--- a/src/direct/upstream.ts
+++ b/src/direct/upstream.ts
@@ -30,7 +30,7 @@
       onConnectFailed: () => this.failures.onUnreachable(clock.now()),
       onAllClosed: () => undefined,
     });
-    this.warmUp.setColdUntil(clock.now() + entry.warmUpMs);
+    this.warmUp.setColdUntil(clock.now() + entry.warmUpMs, clock.now());
     if (entry.state === "draining") this.#drainingSince = clock.now();
   }
 
@@ -56,7 +56,7 @@
     this.#entry = entry;
     if (entry.state === "draining") this.#drainingSince ??= now;
     else this.#drainingSince = undefined;
-    this.warmUp.setColdUntil(now + entry.warmUpMs);
+    this.warmUp.setColdUntil(now + entry.warmUpMs, now);
   }
 
   /** Closes idle connections; requests in flight run to their end. */
--- a/src/direct/warm_up_pacer.ts
+++ b/src/direct/warm_up_pacer.ts
@@ -6,12 +6,20 @@
  */
 export class WarmUpPacer {
   #coldUntil = Number.NEGATIVE_INFINITY;
-  #lastSentAt = Number.NEGATIVE_INFINITY;
+  #coldSince = Number.NEGATIVE_INFINITY;
+  #lastSentAt: number | undefined;
+  /** Spreads the first requests of the VMs over a gap. */
+  readonly #phase = Math.random();
 
   /**
    * @param until - monotonic milliseconds; an earlier end replaces a later one
+   * @param now - monotonic milliseconds
    */
-  setColdUntil(until: number): void {
+  setColdUntil(until: number, now: number): void {
+    if (!this.isCold(now) && until > now) {
+      this.#coldSince = now;
+      this.#lastSentAt = undefined;
+    }
     this.#coldUntil = until;
   }
 
@@ -39,7 +47,9 @@
     const gapMs = bound.perS > 0
       ? MS_PER_S * Math.max(1, bound.vms) / bound.perS
       : Infinity;
-    const at = Math.min(this.#coldUntil, this.#lastSentAt + gapMs);
-    return Math.max(0, at - now);
+    const next = this.#lastSentAt === undefined
+      ? this.#coldSince + gapMs * this.#phase
+      : this.#lastSentAt + gapMs;
+    return Math.max(0, Math.min(this.#coldUntil, next) - now);
   }
 }
--- a/src/links/draining_server.ts
+++ b/src/links/draining_server.ts
@@ -135,6 +135,8 @@
     // Unlike its override in `http`, this does not close idle connections, on
     // which a request may be arriving.
     NetServer.prototype.close.call(this.#server);
+    // The time for the senders to learn of the drain is over.
+    this.#server.closeIdleConnections();
     while (this.#inFlight.size > 0) await this.#clock.sleep(CHECK_MS);
     this.close();
   }
--- a/src/ranges/keeper_lease.ts
+++ b/src/ranges/keeper_lease.ts
@@ -72,6 +72,15 @@
     return this.#held;
   }
 
+  /**
+   * @returns whether this VM is the keeper and has confirmed it lately; if
+   * not, another VM may be able to reach the store
+   */
+  get confirmed(): boolean {
+    return this.mayOrder &&
+      this.#opts.clock.now() - this.#confirmedAt < TTL_MS;
+  }
+
   /**
    * @returns whether orders may be sent: the lease was confirmed lately, and
    * the process has not been frozen since
@@ -129,8 +138,7 @@
         await this.#renew();
         await clock.sleep(RENEW_MS, signal);
       } else if (this.#suspect) {
-        await this.#contend();
-        if (this.#held) continue;
+        if (await this.#contend()) continue;
         await clock.sleep(LOOK_MS + Math.random() * JITTER_MS, signal);
       } else {
         await waitForChange({
@@ -187,27 +195,27 @@
     }
   }
 
-  async #contend(): Promise<void> {
+  /** Returns whether the lease was won. */
+  async #contend(): Promise<boolean> {
     const { clock, self, logger } = this.#opts;
     const before = this.#seen;
     const row = await this.#look();
-    if (row === "unknown") return;
     const seen = this.#seen;
-    if (seen === undefined) return;
+    if (row === "unknown" || seen === undefined) return false;
     if (row !== undefined && before?.version !== seen.version) {
       // The keeper is alive, or was when this row was written.
+      this.#suspect = false;
       if (before?.row?.incarnation !== row.incarnation) {
-        this.#suspect = false;
         this.changed.notify();
         logger.info({ keeper: row.vm, version: seen.version }, "keeper found");
-      } else if (before !== undefined) this.#suspect = false;
+      }
     }
     const ownEarlier = row?.vm === self.vm;
     const expired = row === undefined || ownEarlier ||
       clock.now() - seen.since >= TTL_MS;
-    if (!expired) return;
+    if (!expired) return false;
     const outcome = await this.#write(seen.version);
-    if (outcome.kind !== "applied") return;
+    if (outcome.kind !== "applied") return false;
     const now = clock.now();
     this.#held = true;
     this.#suspect = false;
@@ -222,6 +230,7 @@
       "keeper lease won",
     );
     this.changed.notify();
+    return true;
   }
 
   async #look(): Promise<LeaseRow | undefined | "unknown"> {
--- a/src/ranges/range_keeper.ts
+++ b/src/ranges/range_keeper.ts
@@ -137,7 +137,9 @@
     }
   }
 
-  async #send(report: ReturnType<typeof KeyReport.params.parse>): Promise<void> {
+  async #send(
+    report: ReturnType<typeof KeyReport.params.parse>,
+  ): Promise<void> {
     const { lease, peers, signal, view, logger } = this.#opts;
     const { keeperUrl } = lease;
     if (keeperUrl === undefined) {
@@ -169,6 +171,7 @@
     const now = clock.now();
     lease.onPeer(report.vm, report.incarnation);
     if (!lease.held) return { keeper: false, vms: view.vms };
+    const keeper = lease.confirmed;
     this.#reporters.set(report.vm, now);
     for (const [vm, at] of this.#reporters) {
       if (now - at > REPORTER_MS) this.#reporters.delete(vm);
@@ -178,6 +181,6 @@
     }
     const vms = this.#reporters.size;
     view.setVms(vms);
-    return { keeper: true, vms };
+    return { keeper, vms };
   }
 }
--- a/src/ranges/service_ranges.ts
+++ b/src/ranges/service_ranges.ts
@@ -54,7 +54,10 @@
 /** What the keeper does for the keys of one service. */
 export class ServiceRanges {
   readonly #opts: Options;
+  /** The owners as they were known last. */
   #table: RangeTable | undefined;
+  /** The row may have changed since. */
+  #stale = true;
   readonly #renewals = new Map<string, Renewal>();
   /** Until when any grant to an upstream may be in force; by incarnation. */
   readonly #heldUntil = new Map<string, number>();
@@ -80,22 +83,38 @@
    * @param signal - the lease is lost, or the process ends
    */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock } = this.#opts;
+    await Promise.all([this.#assign(signal), this.#order(signal)]);
+  }
+
+  /** Plans and writes who owns which keys. */
+  async #assign(signal: AbortSignal): Promise<void> {
+    const { clock, lease } = this.#opts;
     while (!signal.aborted) {
-      if (this.#opts.lease.mayOrder) await this.#tick(signal);
+      // A keeper that was away reads what its successor has done.
+      if (!lease.confirmed) this.#stale = true;
+      else if (!this.#stale || await this.#read(signal)) {
+        await this.#write(signal);
+      }
       await clock.sleep(TICK_MS, signal);
     }
   }
 
-  async #tick(signal: AbortSignal): Promise<void> {
-    if (this.#table === undefined && !await this.#read(signal)) return;
-    for (const upstream of this.#opts.view.upstreams) {
-      this.#addresses.set(upstream.entry.id, upstream.entry.address);
-    }
-    await this.#write(signal);
-    for (const range of this.#table?.document.ranges ?? []) {
-      if (range.previous.length > 0) this.#startMove(range, signal);
-      else this.#startRenewal(range, signal);
+  /**
+   * Keeps the upstreams to the owners that are known, also while the store
+   * cannot be reached.
+   */
+  async #order(signal: AbortSignal): Promise<void> {
+    const { clock, lease, view } = this.#opts;
+    while (!signal.aborted) {
+      for (const upstream of view.upstreams) {
+        this.#addresses.set(upstream.entry.id, upstream.entry.address);
+      }
+      const ranges = this.#table?.document.ranges ?? [];
+      for (const range of lease.mayOrder ? ranges : []) {
+        if (range.previous.length > 0) this.#startMove(range, signal);
+        else this.#startRenewal(range, signal);
+      }
+      await clock.sleep(TICK_MS, signal);
     }
   }
 
@@ -109,7 +128,12 @@
     const row = read.value.rows.find(({ key }) => key === service);
     const found = row === undefined ? undefined : readRangeTable(row, logger);
     this.#table = found ??
-      new RangeTable(row?.version ?? 0, { schema: 1, nextFence: 1, ranges: [] });
+      new RangeTable(row?.version ?? 0, {
+        schema: 1,
+        nextFence: 1,
+        ranges: [],
+      });
+    this.#stale = false;
     return true;
   }
 
@@ -135,8 +159,7 @@
         version: before.version,
         err: outcome.isErr() ? outcome.error : undefined,
       }, "key owners not written");
-      // The row may have changed, now or later.
-      this.#table = undefined;
+      this.#stale = true;
       return;
     }
     for (const fence of arrived) this.#arrived.delete(fence);
@@ -210,7 +233,7 @@
       next.busy = false;
       if (result === "granted") next.grantedAt = now;
       // Another keeper has used a higher token; the row tells which.
-      if (result === "stale") this.#table = undefined;
+      if (result === "stale") this.#stale = true;
     });
   }
 
@@ -286,7 +309,7 @@
         return true;
       }
       if (result === "stale") {
-        this.#table = undefined;
+        this.#stale = true;
         return false;
       }
       await clock.sleep(RETRY_MS, signal);
@@ -300,7 +323,7 @@
     previous: KeyRange["previous"][number],
     signal: AbortSignal,
   ): Promise<{ handover: string | undefined } | undefined> {
-    const { clock, grants, view, logger, metrics, service } = this.#opts;
+    const { clock, grants, view, logger, metrics, service, lease } = this.#opts;
     const { first, last, fence } = range;
     while (!signal.aborted && this.#isPlanned(range)) {
       const now = clock.now();
@@ -309,7 +332,8 @@
         present !== undefined &&
         present.entry.incarnation !== previous.incarnation
       ) return { handover: undefined }; // A new life holds nothing of before.
-      if (now >= this.#endOf(previous)) {
+      // Another keeper may have renewed what this one believes expired.
+      if (lease.confirmed && now >= this.#endOf(previous)) {
         logger.info(
           { service, upstream: previous.id, first, last, fence },
           "lease of the previous owner has run out",
@@ -358,10 +382,11 @@
 
   #isPlanned(range: KeyRange): boolean {
     const table = this.#table;
-    return table === undefined || table.document.ranges.some((one) =>
-      one.fence === range.fence && one.first === range.first &&
-      one.last === range.last
-    );
+    return table === undefined ||
+      table.document.ranges.some((one) =>
+        one.fence === range.fence && one.first === range.first &&
+        one.last === range.last
+      );
   }
 }
 
--- a/src/rows/row.ts
+++ b/src/rows/row.ts
@@ -4,7 +4,7 @@
 export const Row = z.object({
   table: z.string(),
   key: z.string(),
-  value: z.instanceof(Uint8Array),
+  value: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
   /** Position of the last change in the store's only counter. */
   version: z.number(),
 });
--- a/src/rows/table_follower.ts
+++ b/src/rows/table_follower.ts
@@ -12,6 +12,8 @@
   logger: Logger;
   /** Longest wait of one feed call at the store, in milliseconds. */
   waitMs: number;
+  /** Changes that follow each other within this time come with one call. */
+  gatherMs: number;
   /** The whole table was read. */
   onSnapshot: (rows: readonly Row[]) => void;
   onChanges: (changes: readonly RowChange[]) => void;
@@ -63,13 +65,15 @@
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.#opts;
     let pauseMs = MIN_PAUSE_MS;
-    while (!signal.aborted) {
+    const isOver = () => signal.aborted;
+    while (!isOver()) {
       const err = this.#version === undefined
         ? await this.#readAll(signal)
         : await this.#readChanges(this.#version, signal);
-      if (signal.aborted) return;
+      if (isOver()) return;
       if (err === undefined) {
         pauseMs = MIN_PAUSE_MS;
+        await clock.sleep(this.#opts.gatherMs, signal);
         continue;
       }
       if (err.kind === "history_lost") {
--- a/src/upstreams/upstream_connection.ts
+++ b/src/upstreams/upstream_connection.ts
@@ -29,6 +29,7 @@
   #socket: Socket | undefined;
   #established = false;
   #gone = false;
+  #reset = false;
 
   /**
    * Connects when the first request is sent.
@@ -60,6 +61,14 @@
     return this.#established && !this.#gone;
   }
 
+  /**
+   * @returns whether the other side has reset the connection. undici takes a
+   * reset for the end of an answer that has no length.
+   */
+  get reset(): boolean {
+    return this.#reset;
+  }
+
   /**
    * @returns whether the connection is closed for good
    */
@@ -98,6 +107,10 @@
         return;
       }
       this.#established = true;
+      // Before undici's own listener, which ends the answer.
+      socket.once("error", () => {
+        this.#reset = true;
+      });
       callback(null, socket);
       onConnected();
     });
--- a/src/upstreams/upstream_exchange.ts
+++ b/src/upstreams/upstream_exchange.ts
@@ -117,6 +117,10 @@
   }
 
   #onComplete(): void {
+    if (this.#options.connection.reset) {
+      this.#fail(new Error("the connection was reset within the answer"));
+      return;
+    }
     this.#complete = true;
     this.#body?.push(null);
     // undici closes a connection that cannot be used again only after this
--- /dev/null
+++ b/tests/direct/attempt_test.ts
@@ -0,0 +1,120 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Socket } from "node:net";
+import { systemClock } from "../../src/base/system_clock.ts";
+import { attempt } from "../../src/direct/attempt.ts";
+import type { CallerCall } from "../../src/direct/caller_call.ts";
+import { httpHeaders } from "../../platform/http_headers.ts";
+import { RawUpstream } from "../support/raw_upstream.ts";
+import { testUpstream } from "../support/test_upstream.ts";
+
+const ID = "9c41d07be2a35f68";
+const HEAD = `HTTP/1.1 200 OK\r\nFescuerun-Request-Id: ${ID}\r\n` +
+  "Fescuerun-Response-Signature: s\r\n";
+
+const call: CallerCall = {
+  requestId: ID,
+  method: "GET",
+  target: "/a/",
+  host: "h.example",
+  headers: { host: "h.example" },
+  body: undefined,
+  receivedAt: 0,
+  deadlineMs: 5000,
+  key: undefined,
+};
+
+async function send(onRequest: (socket: Socket) => void) {
+  const raw = await new RawUpstream(onRequest).listen();
+  const upstream = testUpstream({ address: `127.0.0.1:${raw.port}` });
+  const result = await attempt({
+    call,
+    upstream,
+    idempotent: true,
+    protocol: httpHeaders,
+    clock: systemClock,
+    deadlineAt: systemClock.now() + 5000,
+    maxConnections: 2,
+  }, new AbortController().signal);
+  upstream.close();
+  raw.close();
+  return result;
+}
+
+// Each row is an answer as the upstream writes it, and what the router may
+// make of it. Guards: an answer that was cut short looks complete.
+const CASES: readonly {
+  name: string;
+  write: (socket: Socket) => void;
+  kind: string;
+  body?: string;
+}[] = [
+  {
+    name: "an answer with a length",
+    write: (socket) => socket.write(`${HEAD}Content-Length: 4\r\n\r\nbody`),
+    kind: "answered",
+    body: "body",
+  },
+  {
+    name: "an answer without length that ends with its connection",
+    write: (socket) => socket.end(`${HEAD}Connection: close\r\n\r\nbody`),
+    kind: "answered",
+    body: "body",
+  },
+  {
+    name: "an answer without length whose connection is reset",
+    write: (socket) => {
+      socket.write(
+        `${HEAD}Connection: close\r\n\r\nbo`,
+        () => setTimeout(() => socket.resetAndDestroy(), 20),
+      );
+    },
+    kind: "lost",
+  },
+  {
+    name: "an answer that is shorter than its length",
+    write: (socket) => socket.end(`${HEAD}Content-Length: 9\r\n\r\nbody`),
+    kind: "lost",
+  },
+  {
+    name: "chunks without an end",
+    write: (socket) =>
+      socket.end(`${HEAD}Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n`),
+    kind: "lost",
+  },
+  {
+    name: "bytes that are no answer",
+    write: (socket) => socket.write("\u0001\u0002rubbish\r\n\r\n"),
+    kind: "lost",
+  },
+  {
+    name: "the answer to another request",
+    write: (socket) =>
+      socket.write(
+        HEAD.replace(ID, "0000000000000000") +
+          "Content-Length: 4\r\n\r\nbody",
+      ),
+    kind: "lost",
+  },
+  {
+    name: "a refusal that says it has not run",
+    write: (socket) =>
+      socket.write(
+        "HTTP/1.1 503 Full\r\nFescuerun-Not-Executed: 1\r\n" +
+          "Content-Length: 0\r\n\r\n",
+      ),
+    kind: "rejected",
+  },
+];
+
+describe("attempt", () => {
+  for (const { name, write, kind, body } of CASES) {
+    it(`${name}: ${kind}`, async () => {
+      const result = await send(write);
+      assert.equal(result.kind, kind);
+      if (result.kind === "answered") {
+        assert.equal(Buffer.from(result.body).toString(), body);
+      }
+    });
+  }
+});
--- /dev/null
+++ b/tests/support/range_rig.ts
@@ -0,0 +1,104 @@
+import { DirectMetrics } from "../../src/direct/direct_metrics.ts";
+import { FleetView } from "../../src/direct/fleet_view.ts";
+import { KeeperLease } from "../../src/ranges/keeper_lease.ts";
+import { KeyLoad } from "../../src/ranges/key_load.ts";
+import { ServiceRanges } from "../../src/ranges/service_ranges.ts";
+import { LeaseUpstreams } from "./lease_upstreams.ts";
+import { ManualClock } from "./manual_clock.ts";
+import { MemoryRowStore } from "./memory_row_store.ts";
+import { silentLogger } from "./silent_logger.ts";
+
+const SERVICE = "ledger";
+
+/** Keepers of one service's keys, and the upstreams that hold them. */
+export class RangeRig {
+  readonly clock = new ManualClock();
+  readonly store = new MemoryRowStore(this.clock);
+  readonly upstreams = new LeaseUpstreams(this.clock);
+  readonly load = new KeyLoad(0);
+  readonly end = new AbortController();
+
+  /** A VM that may become the keeper. */
+  keeper(vm: string, ids: readonly string[]) {
+    const { clock, store } = this;
+    const logger = silentLogger();
+    const view = new FleetView({
+      clock,
+      logger,
+      regionOf: new Map([["a1", "a"]]),
+      assumedVms: 3,
+    });
+    view.setConfig({
+      version: 1,
+      routes: [],
+      services: [{
+        name: SERVICE,
+        healthPath: "/health",
+        maxConnections: 100,
+        warmUpMs: 3000,
+        warmUpPerS: 4,
+        keyed: true,
+      }],
+      requests: {
+        maxHeaderBytes: 1,
+        maxBodyBytes: 1,
+        headersTimeoutMs: 1,
+        idleTimeoutMs: 1,
+      },
+    });
+    for (const id of ids) this.register(view, id);
+    const end = new AbortController();
+    const lease = new KeeperLease({
+      store,
+      table: "keeper",
+      self: { vm, incarnation: `${vm}-1`, peerUrl: `http://${vm}` },
+      clock,
+      logger,
+      signal: end.signal,
+    });
+    const ranges = new ServiceRanges({
+      service: SERVICE,
+      store,
+      table: "ranges",
+      view,
+      lease,
+      grants: this.upstreams,
+      load: this.load,
+      workMs: () => 100,
+      clock,
+      logger,
+      metrics: new DirectMetrics(),
+      holdMs: 4000,
+    });
+    return { vm, view, lease, ranges, end };
+  }
+
+  register(view: FleetView, id: string, state: "ready" | "draining" = "ready") {
+    view.setUpstream({
+      id,
+      incarnation: 1,
+      service: SERVICE,
+      address: `${id}:1`,
+      failureDomain: "a1",
+      slots: 2,
+      state,
+      warmUpMs: 0,
+    });
+  }
+
+  /** Keys out of a sample that exactly one upstream holds. */
+  heldOnce(): number {
+    let once = 0;
+    for (let key = 0; key < 65_536; key += 1024) {
+      if (this.upstreams.holders(key).length === 1) once++;
+    }
+    return once / 64;
+  }
+
+  /** Moves time in small steps, so that every task sees each of them. */
+  async pass(ms: number, step = 20): Promise<void> {
+    for (let passed = 0; passed < ms; passed += step) {
+      await this.clock.advance(step);
+    }
+  }
+}
