feat(direct): remember the speed of upstreams; end leases by a higher token

Cause: the reported slowdown holds an upstream's own speed, which was forgotten 300 ms after each answer; an unanswered renewal held moves back for 5 s though the release had told a higher token (its owner answers 409 to the old one). Change: median of reported slowdowns; no wait after an answered release; a new keeper asks the earlier one to stop; other instances are not asked again.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -93,7 +93,14 @@
       return { kind: "lost", reason: head.err.message };
     case "answered": {
       const { status, headers, body } = head;
-      const answer = protocol.readAnswer(call, status, headers);
+      const answer = protocol.readAnswer(
+        call,
+        upstream.entry.id,
+        status,
+        headers,
+      );
+      // Its registry entry will go; until then it is not asked again.
+      if (answer.otherInstance) upstream.failures.onUnreachable(clock.now());
       if (answer.identity === "other") {
         const err = new Error("the answer belongs to another request");
         exchange.abandon(err);
--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -162,7 +162,7 @@
       readinessDelayMs: READINESS_DELAY_MS,
     });
     const rpc = rpcServer({
-      handlers: [this.#keeper.handler],
+      handlers: this.#keeper.handlers,
       credential: opts.peerCredential,
       logger,
       signal: this.#end.signal,
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -295,6 +295,13 @@
     if (kind === "deliver" && expected.waitMs === 0) {
       this.#learn(state, upstream, result, now - sentAt);
     }
+    if (result.kind === "lost" && now >= deadlineAt) {
+      // It would have taken at least this long.
+      const ratio = (now - sentAt) / (expected.waitMs + expected.runMs);
+      if (ratio > 1) {
+        upstream.load.onTimed(ratio * upstream.load.slowness(now), now);
+      }
+    }
     return { upstream, result };
   }
 
--- a/src/direct/load_estimate.ts
+++ b/src/direct/load_estimate.ts
@@ -10,6 +10,9 @@
 /** A slow upstream is tried again after this time without an answer. */
 const SLOWNESS_DECAY_MS = 6000;
 
+/** Slowdowns that tell an upstream's own speed by their median. */
+const SPEED_REPORTS = 7;
+
 type Reported = LoadReport & { others: number; at: number };
 
 /**
@@ -20,7 +23,11 @@
   #slots: number;
   #inFlight = 0;
   #reported: Reported | undefined;
-  /** Time that work takes there, relative to the service's mean. */
+  /** The last slowdowns that were reported, the newest last. */
+  readonly #slowdowns: number[] = [];
+  /** Median of the reported slowdowns: the upstream's own speed. */
+  #usualSlowdown = 1;
+  /** Time that work takes beyond what the reports tell. */
   #slowness = 1;
   #slownessAt = 0;
 
@@ -62,6 +69,9 @@
    */
   onReport(report: LoadReport, now: number): void {
     this.#slots = report.slots;
+    this.#slowdowns.push(report.slowdown);
+    if (this.#slowdowns.length > SPEED_REPORTS) this.#slowdowns.shift();
+    this.#usualSlowdown = median(this.#slowdowns);
     const ahead = report.running + report.waiting;
     const own = Math.max(0, this.#inFlight - 1);
     this.#reported = { ...report, others: Math.max(0, ahead - own), at: now };
@@ -69,7 +79,7 @@
 
   /**
    * @param ratio - observed time of a request that found a free slot, relative
-   * to the mean of its service
+   * to the mean of its route and the reported slowdown
    * @param now - monotonic milliseconds
    */
   onTimed(ratio: number, now: number): void {
@@ -81,13 +91,21 @@
 
   /**
    * @param now - monotonic milliseconds
-   * @returns time of work there, relative to the mean of the service
+   * @returns time of work there beyond what the upstream reports, as a factor
    */
   slowness(now: number): number {
     const age = Math.max(0, now - this.#slownessAt);
     return 1 + (this.#slowness - 1) * Math.exp(-age / SLOWNESS_DECAY_MS);
   }
 
+  /**
+   * @param now - monotonic milliseconds
+   * @returns time that work usually takes there, relative to the mean
+   */
+  usualTime(now: number): number {
+    return this.#usualSlowdown * this.slowness(now);
+  }
+
   /**
    * @param now - monotonic milliseconds
    * @returns requests that run or wait there, of all VMs
@@ -105,7 +123,7 @@
    * @returns how long a request would wait and run there, in milliseconds
    */
   expect(workMs: number, now: number): { waitMs: number; runMs: number } {
-    const usualMs = workMs * this.slowness(now);
+    const usualMs = workMs * this.usualTime(now);
     const excess = this.queued(now) + 1 - this.#slots;
     return {
       waitMs: Math.max(0, excess) / this.#slots * usualMs,
@@ -116,6 +134,13 @@
   #momentarySlowdown(now: number): number {
     if (this.#reported === undefined) return 1;
     const { slowdown, at } = this.#reported;
-    return 1 + (slowdown - 1) * Math.exp(-(now - at) / SLOWDOWN_DECAY_MS);
+    return 1 +
+      (slowdown / this.#usualSlowdown - 1) *
+        Math.exp(-(now - at) / SLOWDOWN_DECAY_MS);
   }
 }
+
+function median(values: readonly number[]): number {
+  const sorted = values.toSorted((a, b) => a - b);
+  return sorted[(sorted.length - 1) >> 1] ?? 1;
+}
--- a/src/direct/upstream_answer.ts
+++ b/src/direct/upstream_answer.ts
@@ -6,6 +6,8 @@
   notExecuted: boolean;
   /** It is not the upstream that was expected, or does not hold the key. */
   misdirected: boolean;
+  /** The address belongs to another upstream now. */
+  otherInstance: boolean;
   /** Whether the answer names the request that it belongs to, and which. */
   identity: "same" | "other" | "absent";
   /** Whether the upstream's application made the answer. */
--- a/src/direct/wire_protocol.ts
+++ b/src/direct/wire_protocol.ts
@@ -27,12 +27,14 @@
 
   /**
    * @param call - the caller's request
+   * @param upstreamId - the upstream that was to run it
    * @param status - status of the upstream's answer
    * @param headers - its headers, by lower-case name
    * @returns what they say
    */
   readAnswer(
     call: CallerCall,
+    upstreamId: string,
     status: number,
     headers: Headers,
   ): UpstreamAnswer;
--- a/src/ranges/keeper_lease.ts
+++ b/src/ranges/keeper_lease.ts
@@ -123,6 +123,20 @@
   onPeer(vm: string, incarnation: string): void {
     const before = this.#predecessor;
     if (before?.vm !== vm || before.incarnation === incarnation) return;
+    this.onYielded();
+  }
+
+  /**
+   * @returns peer URL of an earlier keeper that may still send orders
+   */
+  get predecessorUrl(): string | undefined {
+    return this.#held && this.#opts.clock.now() < this.#predecessorEndsAt
+      ? this.#predecessor?.peerUrl
+      : undefined;
+  }
+
+  /** The earlier keeper has said that it sends no more orders. */
+  onYielded(): void {
     this.#predecessor = undefined;
     this.#predecessorEndsAt = Math.min(
       this.#predecessorEndsAt,
@@ -130,6 +144,17 @@
     );
   }
 
+  /**
+   * Stops being the keeper because another VM has the lease.
+   *
+   * @returns whether this VM sends no orders from now on
+   */
+  yield(): boolean {
+    if (this.confirmed) return false;
+    if (this.#held) this.#lose("its successor asked");
+    return true;
+  }
+
   /** Holds the lease, or stands by, until the signal aborts. */
   async run(): Promise<void> {
     const { clock, signal } = this.#opts;
--- a/src/ranges/key_report.ts
+++ b/src/ranges/key_report.ts
@@ -11,6 +11,8 @@
       z.string(),
       z.array(z.tuple([z.number().int(), z.number().int()])),
     ),
+    /** Usual time of work at upstreams with keys, relative to the mean. */
+    speeds: z.record(z.string(), z.number()),
   }),
   result: z.object({
     /** Whether the called VM is the keeper. */
--- a/src/ranges/plan_ranges.ts
+++ b/src/ranges/plan_ranges.ts
@@ -25,15 +25,15 @@
 /** Rate of all keys together when there are no requests. */
 const IDLE_PER_S = 1;
 /** An upstream above this part of its capacity may hand keys over. */
-const BUSY_PART = 0.5;
+const BUSY_PART = 0.6;
 /** It must be this far above the mean, in parts of the mean. */
-const MIN_EXCESS_PART = 0.3;
+const MIN_EXCESS_PART = 0.4;
 /** The rates are means of about this many seconds. */
 const SAMPLE_S = 3;
 /** Standard errors by which an excess must differ from chance. */
-const SURE_ERRORS = 1.5;
+const SURE_ERRORS = 2;
 /** Moves for the sake of balance that begin at the same time. */
-const MAX_MOVES = 2;
+const MAX_MOVES = 4;
 /** A lost owner's keys go to up to this many others. */
 const MAX_PIECES = 3;
 /** A new upstream starts with this part of the mean. */
--- a/src/ranges/range_keeper.ts
+++ b/src/ranges/range_keeper.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
 import type { DirectMetrics } from "../direct/direct_metrics.ts";
@@ -10,6 +11,7 @@
 import { KeyLoad } from "./key_load.ts";
 import { KeyReport } from "./key_report.ts";
 import type { RangeGrants } from "./range_grants.ts";
+import { YieldRequest } from "./yield_request.ts";
 import { ServiceRanges } from "./service_ranges.ts";
 
 type Options = {
@@ -32,6 +34,9 @@
 
 const REPORT_MS = 700;
 const REPORT_TIMEOUT_MS = 900;
+/** Smaller changes of an upstream's speed are not worth a message. */
+const TOLD_SPEED_PART = 0.2;
+const SUCCEED_MS = 250;
 /** A VM that has not reported for this long is not counted. */
 const REPORTER_MS = 2500;
 
@@ -40,11 +45,15 @@
  * keys to the keeper while another one has it.
  */
 export class RangeKeeper {
-  /** Takes reports of other VMs. */
-  readonly handler: RpcHandler;
+  /** Take reports of other VMs and the requests of later keepers. */
+  readonly handlers: readonly RpcHandler[];
   readonly #opts: Options;
   #counts: Counts = new Map();
   #loads = new Map<string, KeyLoad>();
+  /** Speeds of upstreams that this VM has told the keeper. */
+  readonly #told = new Map<string, number>();
+  /** Speeds of upstreams that VMs have told this one. */
+  readonly #reported = new Map<string, number>();
   readonly #reporters = new Map<string, number>();
 
   /**
@@ -52,12 +61,16 @@
    */
   constructor(opts: Options) {
     this.#opts = opts;
-    this.handler = {
+    this.handlers = [{
       method: KeyReport.method,
       params: KeyReport.params,
       handle: (params) =>
         Promise.resolve(this.#onReport(KeyReport.params.parse(params))),
-    };
+    }, {
+      method: YieldRequest.method,
+      params: YieldRequest.params,
+      handle: () => Promise.resolve({ yielded: opts.lease.yield() }),
+    }];
   }
 
   /**
@@ -77,7 +90,26 @@
 
   /** Reports, and keeps ranges while the lease is held. */
   async run(): Promise<void> {
-    await Promise.all([this.#keep(), this.#report()]);
+    await Promise.all([this.#keep(), this.#report(), this.#succeed()]);
+  }
+
+  /** Asks the earlier keeper to stop, so that its leases can be counted out. */
+  async #succeed(): Promise<void> {
+    const { lease, peers, clock, signal, self } = this.#opts;
+    while (!signal.aborted) {
+      const peerUrl = lease.predecessorUrl;
+      if (peerUrl !== undefined) {
+        const answer = await peers.call({
+          peerUrl,
+          method: YieldRequest.method,
+          params: { vm: self.vm },
+          result: YieldRequest.result,
+          timeoutMs: REPORT_TIMEOUT_MS,
+        }, signal);
+        if (answer.isOk() && answer.value.yielded) lease.onYielded();
+      }
+      await clock.sleep(SUCCEED_MS, signal);
+    }
   }
 
   async #keep(): Promise<void> {
@@ -88,6 +120,8 @@
     while (!signal.aborted) {
       if (lease.held && term === undefined) {
         term = new AbortController();
+        // Each order of the term listens to it.
+        setMaxListeners(0, term.signal);
         services = new Set();
         this.#loads = new Map();
       } else if (!lease.held && term !== undefined) {
@@ -112,6 +146,7 @@
       service,
       load: this.#load(service),
       workMs: () => workMs(service),
+      speeds: () => this.#reported,
     });
   }
 
@@ -130,13 +165,28 @@
       const counts: Record<string, [number, number][]> = {};
       for (const [service, keys] of this.#counts) counts[service] = [...keys];
       this.#counts = new Map();
-      const report = { ...self, counts };
+      const report = { ...self, counts, speeds: this.#speeds() };
       if (lease.held) this.#onReport(report);
       else await this.#send(report);
       await clock.sleep(REPORT_MS, signal);
     }
   }
 
+  /** Upstreams of services with keys whose speed the keeper does not know. */
+  #speeds(): Record<string, number> {
+    const { view, clock } = this.#opts;
+    const speeds: Record<string, number> = {};
+    for (const { entry, load } of view.upstreams) {
+      const keyed = view.policy(entry.service)?.keyed === true;
+      const speed = Math.round(load.usualTime(clock.now()) * 10) / 10;
+      const told = this.#told.get(entry.id) ?? 1;
+      if (!keyed || Math.abs(speed / told - 1) < TOLD_SPEED_PART) continue;
+      this.#told.set(entry.id, speed);
+      speeds[entry.id] = speed;
+    }
+    return speeds;
+  }
+
   async #send(
     report: ReturnType<typeof KeyReport.params.parse>,
   ): Promise<void> {
@@ -179,6 +229,13 @@
     for (const [service, counts] of Object.entries(report.counts)) {
       this.#load(service).add(counts, now);
     }
+    for (const [id, speed] of Object.entries(report.speeds)) {
+      const before = this.#reported.get(id);
+      this.#reported.set(
+        id,
+        before === undefined ? speed : (before + speed) / 2,
+      );
+    }
     const vms = this.#reporters.size;
     view.setVms(vms);
     return { keeper, vms };
--- a/src/ranges/service_ranges.ts
+++ b/src/ranges/service_ranges.ts
@@ -24,13 +24,21 @@
   load: KeyLoad;
   /** @returns mean time of the service's work, in milliseconds */
   workMs: () => number;
+  /** @returns usual time of work at upstreams that VMs have reported, by id */
+  speeds: () => ReadonlyMap<string, number>;
   clock: Clock;
   logger: Logger;
   metrics: DirectMetrics;
   /** How long a grant lasts, in milliseconds. */
   holdMs: number;
 };
-type Renewal = { grantedAt: number; triedAt: number; busy: boolean };
+type Renewal = {
+  grantedAt: number;
+  triedAt: number;
+  busy: boolean;
+  /** Refused for a higher token; the row will name another one. */
+  stale: boolean;
+};
 
 const TICK_MS = 60;
 const PLAN_MS = 300;
@@ -61,8 +69,6 @@
   readonly #renewals = new Map<string, Renewal>();
   /** Until when any grant to an upstream may be in force; by incarnation. */
   readonly #heldUntil = new Map<string, number>();
-  /** The same for grants that were not answered. */
-  readonly #unansweredUntil = new Map<string, number>();
   readonly #moving = new Set<number>();
   readonly #arrived = new Set<number>();
   readonly #addresses = new Map<string, string>();
@@ -176,12 +182,14 @@
     ) return undefined;
     this.#plannedAt = now;
     const policy = view.policy(service);
+    const speeds = this.#opts.speeds();
     const holders = [...view.upstreams]
       .filter(({ entry }) => entry.service === service)
       .sort((a, b) => a.entry.id < b.entry.id ? -1 : 1)
       .map((upstream) => {
         const capacityPerS = upstream.load.slots * MS_PER_S /
-          (workMs() * upstream.load.slowness(now));
+          (workMs() * (speeds.get(upstream.entry.id) ??
+            upstream.load.usualTime(now)));
         const coldPerS = COLD_PART * (policy?.warmUpPerS ?? 0);
         return {
           id: upstream.entry.id,
@@ -220,12 +228,20 @@
     const renewal = this.#renewals.get(key);
     if (renewal !== undefined) {
       const due = renewal.grantedAt + holdMs / RENEWALS_PER_HOLD;
-      if (renewal.busy || now < due || now < renewal.triedAt + RETRY_MS) {
+      if (
+        renewal.stale || renewal.busy || now < due ||
+        now < renewal.triedAt + RETRY_MS
+      ) {
         return;
       }
     }
     const next = renewal ??
-      { grantedAt: Number.NEGATIVE_INFINITY, triedAt: now, busy: false };
+      {
+        grantedAt: Number.NEGATIVE_INFINITY,
+        triedAt: now,
+        busy: false,
+        stale: false,
+      };
     next.busy = true;
     next.triedAt = now;
     this.#renewals.set(key, next);
@@ -233,7 +249,10 @@
       next.busy = false;
       if (result === "granted") next.grantedAt = now;
       // Another keeper has used a higher token; the row tells which.
-      if (result === "stale") this.#stale = true;
+      if (result === "stale") {
+        next.stale = true;
+        this.#stale = true;
+      }
     });
   }
 
@@ -262,7 +281,6 @@
     } else if (this.#heldUntil.get(holder) === latest) {
       this.#heldUntil.set(holder, before);
     }
-    if (result === "unanswered") this.#unansweredUntil.set(holder, until);
     metrics.orders.inc({ order: "grant", result });
     if (result !== "granted" || handover !== undefined) {
       logger.info({
@@ -305,7 +323,12 @@
       if (result === "granted") {
         const key = `${range.first}-${range.last}-${range.fence}`;
         const now = clock.now();
-        this.#renewals.set(key, { grantedAt: now, triedAt: now, busy: false });
+        this.#renewals.set(key, {
+          grantedAt: now,
+          triedAt: now,
+          busy: false,
+          stale: false,
+        });
         return true;
       }
       if (result === "stale") {
@@ -356,9 +379,9 @@
           result: released.kind,
           ms: Math.round(clock.now() - now),
         }, "keys released");
-        // An unanswered grant could still take effect after the release.
-        const unanswered = this.#unansweredUntil.get(holderKey(previous)) ?? 0;
-        if (released.kind === "released" && clock.now() >= unanswered) {
+        // The release has told a higher token, so that an unanswered grant
+        // which is carried out late will be refused.
+        if (released.kind === "released") {
           return { handover: released.handover };
         }
       }
--- /dev/null
+++ b/src/ranges/yield_request.ts
@@ -0,0 +1,11 @@
+import { z } from "zod";
+
+/** A new keeper asks an earlier one, which may be cut off, to stop. */
+export const YieldRequest = {
+  method: "ranges.yield",
+  params: z.object({ vm: z.string() }),
+  result: z.object({
+    /** Whether the called VM sends no orders from now on. */
+    yielded: z.boolean(),
+  }),
+};
--- a/tests/support/range_rig.ts
+++ b/tests/support/range_rig.ts
@@ -65,6 +65,7 @@
       grants: this.upstreams,
       load: this.load,
       workMs: () => 100,
+      speeds: () => new Map(),
       clock,
       logger,
       metrics: new DirectMetrics(),
