--- /dev/null
+++ b/scripts/zod_locales.mjs
@@ -0,0 +1,1 @@
+export { default as en } from "zod/v4/locales/en.js";
