perf(ranges): see hot keys earlier; expect the usual load of other VMs

Cause: a rate averaged over 3 s and reported each 700 ms showed hot keys after about 2 s of a 5 s spell; requests of other VMs were forgotten after 600 ms, so that queues grew until answers missed their deadline.

--- a/scripts/bundle_router.mjs
+++ b/scripts/bundle_router.mjs
@@ -24,10 +24,13 @@
         path: resolve("scripts/undici_client.cjs"),
       }));
       // zod loads the messages of all languages, of which it shows English.
-      onResolve({ filter: /locales\/index\.(c?js)$/ }, ({ importer }) =>
-        importer.includes("/zod/")
-          ? { path: resolve("scripts/zod_locales.mjs") }
-          : undefined);
+      onResolve(
+        { filter: /locales\/index\.(c?js)$/ },
+        ({ importer }) =>
+          importer.includes("/zod/")
+            ? { path: resolve("scripts/zod_locales.mjs") }
+            : undefined,
+      );
     },
   }],
   // bunyan's dtrace-provider is optional and native.
--- a/src/direct/load_estimate.ts
+++ b/src/direct/load_estimate.ts
@@ -1,7 +1,10 @@
 import type { LoadReport } from "./load_report.ts";
 
-/** How fast a report of requests from other VMs loses its weight. */
+/** How fast a report of requests from other VMs gives way to their mean. */
 const REPORT_DECAY_MS = 600;
+const MEAN_WEIGHT = 0.25;
+/** How fast the mean itself loses its weight without reports. */
+const MEAN_DECAY_MS = 4000;
 /** Upstreams share their hosts; slowdowns last some hundreds of ms. */
 const SLOWDOWN_DECAY_MS = 300;
 const SLOWNESS_WEIGHT = 0.1;
@@ -23,6 +26,8 @@
   #slots: number;
   #inFlight = 0;
   #reported: Reported | undefined;
+  /** Mean of the requests of other VMs. */
+  #meanOthers = 0;
   /** The last slowdowns that were reported, the newest last. */
   readonly #slowdowns: number[] = [];
   /** Median of the reported slowdowns: the upstream's own speed. */
@@ -74,7 +79,10 @@
     this.#usualSlowdown = median(this.#slowdowns);
     const ahead = report.running + report.waiting;
     const own = Math.max(0, this.#inFlight - 1);
-    this.#reported = { ...report, others: Math.max(0, ahead - own), at: now };
+    const others = Math.max(0, ahead - own);
+    this.#meanOthers = this.#meanAt(now);
+    this.#meanOthers += MEAN_WEIGHT * (others - this.#meanOthers);
+    this.#reported = { ...report, others, at: now };
   }
 
   /**
@@ -112,9 +120,15 @@
    */
   queued(now: number): number {
     if (this.#reported === undefined) return this.#inFlight;
-    const age = now - this.#reported.at;
-    return this.#inFlight +
-      this.#reported.others * Math.exp(-age / REPORT_DECAY_MS);
+    const { others, at } = this.#reported;
+    const mean = this.#meanAt(now);
+    const weight = Math.exp(-(now - at) / REPORT_DECAY_MS);
+    return this.#inFlight + mean + (others - mean) * weight;
+  }
+
+  #meanAt(now: number): number {
+    const age = now - (this.#reported?.at ?? now);
+    return this.#meanOthers * Math.exp(-age / MEAN_DECAY_MS);
   }
 
   /**
--- a/src/ranges/key_load.ts
+++ b/src/ranges/key_load.ts
@@ -1,5 +1,5 @@
 /** Recent requests weigh more; this is when the weight has fallen to 1/e. */
-const DECAY_MS = 3000;
+const DECAY_MS = 1500;
 /** Below this rate a key counts as idle again. */
 const MIN_PER_S = 0.02;
 const MS_PER_S = 1000;
--- a/src/ranges/plan_ranges.ts
+++ b/src/ranges/plan_ranges.ts
@@ -29,7 +29,7 @@
 /** It must be this far above the mean, in parts of the mean. */
 const MIN_EXCESS_PART = 0.4;
 /** The rates are means of about this many seconds. */
-const SAMPLE_S = 3;
+const SAMPLE_S = 1.5;
 /** Standard errors by which an excess must differ from chance. */
 const SURE_ERRORS = 2;
 /** Moves for the sake of balance that begin at the same time. */
--- a/src/ranges/range_keeper.ts
+++ b/src/ranges/range_keeper.ts
@@ -33,6 +33,8 @@
 type Counts = Map<string, Map<number, number>>;
 
 const REPORT_MS = 700;
+/** Hot keys are to be seen early; a VM without requests reports less often. */
+const REPORT_BUSY_MS = 350;
 const REPORT_TIMEOUT_MS = 900;
 /** Smaller changes of an upstream's speed are not worth a message. */
 const TOLD_SPEED_PART = 0.2;
@@ -168,7 +170,10 @@
       const report = { ...self, counts, speeds: this.#speeds() };
       if (lease.held) this.#onReport(report);
       else await this.#send(report);
-      await clock.sleep(REPORT_MS, signal);
+      await clock.sleep(
+        Object.keys(counts).length > 0 ? REPORT_BUSY_MS : REPORT_MS,
+        signal,
+      );
     }
   }
 
