fix(vms): keep the timeout of a call whose connection does not stand

Ruled out: the store, which five VMs reached. Change: waits end with their signal; connections are given up after 1 s.

--- a/src/vms/http_peer_client.ts
+++ b/src/vms/http_peer_client.ts
@@ -3,6 +3,7 @@
 import { Pool } from "undici";
 import type { z } from "zod";
 import type { Clock } from "../base/clock.ts";
+import { untilAborted } from "../base/until_aborted.ts";
 import { HOP_HEADER } from "../links/hop_header.ts";
 import type { PeerClient } from "./peer_client.ts";
 import type { PeerError } from "./peer_error.ts";
@@ -13,6 +14,8 @@
 const CONNECTIONS_PER_PEER = 8;
 // Shorter than the idle limit of Node's HTTP server (5 s), so that a call
 // does not meet a connection that the other side is closing.
+/** A round trip between regions takes 40 ms. */
+const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_MS = 4000;
 // Peers are replaced daily, and each pool takes memory.
 const POOL_IDLE_MS = 600_000;
@@ -102,7 +105,10 @@
         signal,
         (either) => {
           limited = either;
-          return this.#post(call.peerUrl, request, either);
+          return untilAborted(
+            this.#post(call.peerUrl, request, either),
+            either,
+          );
         },
       );
       const result = call.result.safeParse(answer);
@@ -195,6 +201,7 @@
     const pool = new Pool(origin, {
       connections: CONNECTIONS_PER_PEER,
       pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveMaxTimeout: KEEP_ALIVE_MS,
     });
