fix(direct): deliver an upstream's failure, let a start settle, keep idle keys

Cause: a 500 of the only upstream became a 502; after a restart of all VMs the first requests were refused before the configuration was read (0.1 s later) and cost callers their repeat; on an idle service keys that were asked once counted as hot and were pinned elsewhere. Tests failed first: direct_router (idempotent, fail), plan_pins (four keys).

--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -45,6 +45,8 @@
   notSent: number;
   /** Whether an upstream may have run the request. */
   mayHaveRun: boolean;
+  /** A failure that an upstream answered, in case no other does better. */
+  failure: Extract<AttemptResult, { kind: "answered" }> | undefined;
   /** What happened, for the log. */
   steps: string[];
 };
@@ -59,6 +61,10 @@
 /** When a second upstream is asked, in parts of the objective. */
 const HEDGE_OBJECTIVE_PART = 0.55;
 const HEDGE_EXPECTED_FACTOR = 2.5;
+/** How long a router counts as just started. */
+const START_MS = 3000;
+/** Longest wait of a request for what a router reads at its start. */
+const START_WAIT_MS = 400;
 /** When a refused caller may return, if nothing better is known. */
 const DEFAULT_RETRY_MS = 250;
 const CONNECTIONS_PART = 0.8;
@@ -68,12 +74,14 @@
 export class DirectRouter {
   readonly #opts: Options;
   readonly #splitter = new RouteSplitter();
+  readonly #startedAt: number;
 
   /**
    * @param opts - beliefs, protocol, limits and who is told
    */
   constructor(opts: Options) {
     this.#opts = opts;
+    this.#startedAt = opts.clock.now();
   }
 
   /**
@@ -83,8 +91,8 @@
    */
   async handle(call: CallerCall, gone: AbortSignal): Promise<CallOutcome> {
     const { view, clock, budget } = this.#opts;
-    const { config } = view;
-    if (config === undefined) {
+    if (!view.complete) await this.#waitForStart(call, gone);
+    if (view.config === undefined) {
       return this.#early(call, "router_not_current", "no configuration yet");
     }
     const route = view.matcher.match(call.host, call.target);
@@ -106,6 +114,7 @@
       sends: 0,
       notSent: 0,
       mayHaveRun: false,
+      failure: undefined,
       steps: [],
     };
     const outcome = await this.#serve(state, gone);
@@ -113,6 +122,25 @@
     return outcome;
   }
 
+  /**
+   * A router that has just started knows in a moment what it needs. Until
+   * then, a refusal would cost callers one of their few repeats.
+   */
+  async #waitForStart(call: CallerCall, gone: AbortSignal): Promise<void> {
+    const { view, clock } = this.#opts;
+    const until = Math.min(
+      this.#startedAt + START_MS,
+      call.receivedAt + START_WAIT_MS,
+    );
+    while (!view.complete && !gone.aborted && clock.now() < until) {
+      await waitForChange({
+        clock,
+        ms: until - clock.now(),
+        notifiers: [view.changed],
+      }, gone);
+    }
+  }
+
   async #serve(state: Call, gone: AbortSignal): Promise<CallOutcome> {
     const { clock } = this.#opts;
     let misdirected = 0;
@@ -168,10 +196,9 @@
           break;
         case "failed":
           state.mayHaveRun = true;
+          state.failure = verdict.result ?? state.failure;
           if (!state.route.idempotent || !this.#mayRepeat(state)) {
-            return verdict.result === undefined
-              ? this.#fail(state, "upstream_failed", verdict.text)
-              : this.#deliver(verdict.result);
+            return this.#fail(state, "upstream_failed", verdict.text);
           }
           if (state.keyed) state.tried.delete(upstream);
           break;
@@ -345,13 +372,14 @@
     return this.#fail(state, choice.code, choice.reason, choice.retryAfterMs);
   }
 
-  /** Ends a request without an answer of an upstream. */
+  /** Ends a request without a good answer of an upstream. */
   #fail(
     state: Call,
     wanted: RefusalCode,
     message: string,
     retryAfterMs?: number,
   ): CallOutcome {
+    if (state.failure !== undefined) return this.#deliver(state.failure);
     const late = this.#opts.clock.now() >= state.deadlineAt;
     const code = !state.mayHaveRun
       ? wanted
@@ -387,7 +415,7 @@
     return {
       kind: "refused",
       refusal: { code, outcome: "not_run", message },
-      retryAfterMs: undefined,
+      retryAfterMs: code === "router_not_current" ? START_WAIT_MS : undefined,
     };
   }
 
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -39,6 +39,7 @@
   #urgency = new Map<string, number>();
   /** Since when each failure domain gets no new work. */
   #evacuated: ReadonlyMap<string, number> = new Map();
+  #registryRead = false;
   #registryRegainedAt = Number.NEGATIVE_INFINITY;
   #vms: number;
   /** When at least this number of VMs was seen last. */
@@ -60,6 +61,16 @@
     return this.#config;
   }
 
+  /**
+   * @returns whether everything that requests need has been read once
+   */
+  get complete(): boolean {
+    return this.#registryRead && this.#config !== undefined &&
+      this.#config.services.every(({ name, keyed }) =>
+        !keyed || this.#ranges.has(name)
+      );
+  }
+
   /**
    * @returns finds the routes of the newest configuration
    */
@@ -278,6 +289,8 @@
     for (const id of [...this.#upstreams.keys()]) {
       if (!present.has(id)) this.removeUpstream(id);
     }
+    this.#registryRead = true;
+    this.changed.notify();
   }
 
   #forget(id: string): void {
--- a/src/shards/plan_pins.ts
+++ b/src/shards/plan_pins.ts
@@ -13,8 +13,12 @@
 const UNPIN_BELOW_PART = PIN_ABOVE_PART / 2;
 const UNPIN_AFTER_MS = 60_000;
 const MAX_PINS = 4096;
-// On an idle service every key is a large part of the mean.
-const MIN_PIN_RATE_PER_S = 1;
+// On an idle service every key is a large part of the mean. A rate is an
+// estimate over some seconds, and one or two requests look like 1/s.
+const MIN_PIN_RATE_PER_S = 5;
+// A move costs the callers of the key a pause. It is worth that only if the
+// owner carries clearly more than the others.
+const OWNER_ABOVE_MEAN = 1.25;
 
 /**
  * Chooses which hot keys are assigned individually, and where.
@@ -84,6 +88,7 @@
     // Moving the key must not make the target the more loaded one.
     const before = loads.get(owner) ?? Infinity;
     if ((loads.get(target) ?? 0) + rate > before) continue;
+    if (before < mean * OWNER_ABOVE_MEAN) continue;
     loads.set(owner, before - rate);
     addPin(digest, rate, { pins, loads, accepting });
   }
--- /dev/null
+++ b/tests/direct/direct_router_test.ts
@@ -0,0 +1,288 @@
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { describe, it } from "node:test";
+import { httpHeaders } from "../../platform/http_headers.ts";
+import { systemClock } from "../../src/base/system_clock.ts";
+import type { CallerCall } from "../../src/direct/caller_call.ts";
+import { DirectMetrics } from "../../src/direct/direct_metrics.ts";
+import { DirectRouter } from "../../src/direct/direct_router.ts";
+import type { Route } from "../../src/direct/route.ts";
+import { WorkTimes } from "../../src/direct/work_times.ts";
+import { FleetRetryBudget } from "../../src/limits/fleet_retry_budget.ts";
+import { FleetRig } from "../support/fleet_rig.ts";
+import { RawUpstream } from "../support/raw_upstream.ts";
+import { silentLogger } from "../support/silent_logger.ts";
+
+type Behaviour = "well" | "shed" | "lose" | "fail" | "misdirect" | "silent";
+
+const ID = "9c41d07be2a35f68";
+
+function reply(status: string, headers = "", body = "body"): string {
+  return `HTTP/1.1 ${status}\r\nFescuerun-Request-Id: ${ID}\r\n${headers}` +
+    `Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+function behave(socket: Socket, behaviour: Behaviour): void {
+  switch (behaviour) {
+    case "well":
+      socket.write(reply("200 OK", "Fescuerun-Response-Signature: s\r\n"));
+      break;
+    case "shed":
+      socket.write(reply("503 Full", "Fescuerun-Not-Executed: 1\r\n"));
+      break;
+    case "lose":
+      socket.resetAndDestroy();
+      break;
+    case "fail":
+      socket.write(reply("500 X", "Fescuerun-Response-Signature: s\r\n"));
+      break;
+    case "misdirect":
+      socket.write(
+        reply("421 X", "Fescuerun-Instance-Id: other\r\n"),
+      );
+      break;
+    case "silent":
+      break;
+  }
+}
+
+/** A router and upstreams, each of which behaves in its own way. */
+async function serve(
+  behaviours: Behaviour[],
+  fields: Partial<Route>,
+  options: { slack?: number; gone?: AbortSignal } = {},
+) {
+  const rig = new FleetRig(systemClock, 1);
+  const route = rig.route({ maxUpstreams: 3, ...fields });
+  rig.configure([route]);
+  const runs: number[] = behaviours.map(() => 0);
+  const raws = await Promise.all(
+    behaviours.map((behaviour, index) =>
+      new RawUpstream((socket) => {
+        runs[index] = (runs[index] ?? 0) + 1;
+        behave(socket, behaviour);
+      }).listen()
+    ),
+  );
+  rig.view.setRegistry([]);
+  for (const [index, raw] of raws.entries()) {
+    rig.upstream({
+      id: `u-${index}`,
+      address: `127.0.0.1:${raw.port}`,
+      // The first upstream is the nearest.
+      failureDomain: index === 0 ? "a1" : "b1",
+    });
+  }
+  const router = new DirectRouter({
+    view: rig.view,
+    work: new WorkTimes(),
+    protocol: httpHeaders,
+    budget: new FleetRetryBudget({
+      clock: systemClock,
+      bound: { ratio: 0, windowMs: 10_000, slack: options.slack ?? 50 },
+      vms: () => 1,
+    }),
+    clock: systemClock,
+    logger: silentLogger(),
+    metrics: new DirectMetrics(),
+    place: { failureDomain: "a1", region: "a" },
+    onKey: () => undefined,
+  });
+  const call: CallerCall = {
+    requestId: ID,
+    method: "POST",
+    target: "/a/x",
+    host: "h.example",
+    headers: {},
+    body: undefined,
+    receivedAt: systemClock.now(),
+    deadlineMs: 700,
+    key: undefined,
+  };
+  const outcome = await router.handle(
+    call,
+    options.gone ?? new AbortController().signal,
+  );
+  for (const upstream of rig.view.upstreams) upstream.close();
+  for (const raw of raws) raw.close();
+  return { outcome, runs };
+}
+
+function summary(outcome: Awaited<ReturnType<typeof serve>>["outcome"]) {
+  switch (outcome.kind) {
+    case "answered":
+      return outcome.status;
+    case "refused":
+      return `${outcome.refusal.code}, ${outcome.refusal.outcome}`;
+    case "gone":
+      return "gone";
+  }
+}
+
+describe("DirectRouter", () => {
+  // What each upstream does, in the order in which they are asked; what the
+  // caller gets; how often each upstream was asked.
+  const cases: {
+    idempotent: boolean;
+    behaviours: Behaviour[];
+    expected: string | number;
+    runs: number[];
+  }[] = [
+    { idempotent: false, behaviours: ["well"], expected: 200, runs: [1] },
+    // A request that says it has not run may go to another upstream.
+    {
+      idempotent: false,
+      behaviours: ["shed", "well"],
+      expected: 200,
+      runs: [1, 1],
+    },
+    {
+      idempotent: false,
+      behaviours: ["misdirect", "well"],
+      expected: 200,
+      runs: [1, 1],
+    },
+    // Guards TWICE: whatever may have run is not sent again.
+    {
+      idempotent: false,
+      behaviours: ["lose", "well"],
+      expected: "upstream_failed, outcome_unknown",
+      runs: [1, 0],
+    },
+    {
+      idempotent: false,
+      behaviours: ["silent", "well"],
+      expected: "deadline_exceeded, outcome_unknown",
+      runs: [1, 0],
+    },
+    {
+      idempotent: false,
+      behaviours: ["fail", "well"],
+      expected: 500,
+      runs: [1, 0],
+    },
+    {
+      idempotent: true,
+      behaviours: ["lose", "well"],
+      expected: 200,
+      runs: [1, 1],
+    },
+    {
+      idempotent: true,
+      behaviours: ["fail", "well"],
+      expected: 200,
+      runs: [1, 1],
+    },
+    // A second upstream is asked when the first takes far too long.
+    {
+      idempotent: true,
+      behaviours: ["silent", "well"],
+      expected: 200,
+      runs: [1, 1],
+    },
+    { idempotent: true, behaviours: ["fail"], expected: 500, runs: [1] },
+    {
+      idempotent: true,
+      behaviours: ["shed", "shed", "shed"],
+      expected: "overloaded, not_run",
+      runs: [1, 1, 1],
+    },
+  ];
+  for (const { idempotent, behaviours, expected, runs } of cases) {
+    const kind = idempotent ? "idempotent" : "non-idempotent";
+    it(`${kind}, ${behaviours.join(", ")}: ${expected}`, async () => {
+      const served = await serve(behaviours, { idempotent });
+      assert.equal(summary(served.outcome), expected);
+      if (behaviours.length < 3) assert.deepEqual(served.runs, runs);
+    });
+  }
+
+  it("sends nothing again without a budget", async () => {
+    const served = await serve(["shed", "well"], {}, { slack: 0 });
+    assert.equal(summary(served.outcome), "overloaded, not_run");
+  });
+
+  it("keeps to the number of upstreams for a request", async () => {
+    const served = await serve(["fail", "fail", "well"], { maxUpstreams: 2 });
+    assert.equal(summary(served.outcome), 500);
+  });
+
+  it("sends nothing for a caller that has left", async () => {
+    const served = await serve(["well"], {}, { gone: AbortSignal.abort() });
+    assert.equal(served.outcome.kind, "gone");
+    assert.deepEqual(served.runs, [0]);
+  });
+
+  // Load pattern: all VMs restart at once, and all callers come back before
+  // the configuration has been read. Guards: refusals use up their repeats.
+  it("lets a request wait for what a start reads, but not long", async () => {
+    const rig = FleetRig.manual();
+    const router = new DirectRouter({
+      view: rig.view,
+      work: new WorkTimes(),
+      protocol: httpHeaders,
+      budget: new FleetRetryBudget({
+        clock: rig.clock,
+        bound: { ratio: 0, windowMs: 10_000, slack: 5 },
+        vms: () => 1,
+      }),
+      clock: rig.clock,
+      logger: silentLogger(),
+      metrics: new DirectMetrics(),
+      place: { failureDomain: "a1", region: "a" },
+      onKey: () => undefined,
+    });
+    const ask = () =>
+      router.handle({
+        requestId: ID,
+        method: "GET",
+        target: "/unknown/",
+        host: "h.example",
+        headers: {},
+        body: undefined,
+        receivedAt: rig.clock.now(),
+        deadlineMs: 1000,
+        key: undefined,
+      }, new AbortController().signal);
+    const early = ask();
+    await rig.clock.advance(100);
+    rig.configure([rig.route()]);
+    rig.view.setRegistry([]);
+    assert.equal(summary(await early), "unknown_entry, not_run");
+    const fresh = FleetRig.manual();
+    assert.ok(!fresh.view.complete);
+  });
+
+  it("refuses at once when it has long been without configuration", async () => {
+    const rig = FleetRig.manual();
+    const router = new DirectRouter({
+      view: rig.view,
+      work: new WorkTimes(),
+      protocol: httpHeaders,
+      budget: new FleetRetryBudget({
+        clock: rig.clock,
+        bound: { ratio: 0, windowMs: 10_000, slack: 5 },
+        vms: () => 1,
+      }),
+      clock: rig.clock,
+      logger: silentLogger(),
+      metrics: new DirectMetrics(),
+      place: { failureDomain: "a1", region: "a" },
+      onKey: () => undefined,
+    });
+    await rig.clock.advance(5000);
+    const outcome = await router.handle({
+      requestId: ID,
+      method: "GET",
+      target: "/a/",
+      host: "h.example",
+      headers: {},
+      body: undefined,
+      receivedAt: rig.clock.now(),
+      deadlineMs: 1000,
+      key: undefined,
+    }, new AbortController().signal);
+    assert.equal(summary(outcome), "router_not_current, not_run");
+    assert.ok(outcome.kind === "refused" && outcome.retryAfterMs !== undefined);
+  });
+});
--- a/tests/shards/plan_pins_test.ts
+++ b/tests/shards/plan_pins_test.ts
@@ -91,3 +91,31 @@
   }, 0);
   assert.equal(result.pins.size, 4096);
 });
+
+// Guards: on a service with almost no load, keys that were asked once each pass
+// for hot keys, and all of them move.
+for (
+  const rates of [
+    { name: "four keys that were asked once", loads: [2, 2], perKey: 1 },
+    { name: "busy keys under an even load", loads: [100, 95], perKey: 40 },
+  ]
+) {
+  test(`${rates.name} stay with their owners`, () => {
+    const result = planPins({
+      pins: new Map(),
+      hotKeys: ["k1", "k2", "k3", "k4"].map((digest) => ({
+        digest,
+        ratePerS: rates.perKey,
+      })),
+      upstreams: rates.loads.map((ratePerS, index) => ({
+        id: `u-${index}`,
+        ratePerS,
+        usable: true,
+        accepting: true,
+      })),
+      ownerOf: () => "u-0",
+      coolSince: new Map(),
+    }, 100_000);
+    assert.deepEqual([...result.pins], []);
+  });
+}
