feat(platform): apply changed settings; bound each order by its own signal

Cause: settings changed without effect; AbortSignal.any piles up on the signal of a term; a stop logged its feeds as lost.

--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -83,6 +83,7 @@
   readonly #peers: PeerListener;
   readonly #readiness: TextListener;
   readonly #metrics: TextListener;
+  readonly #budget: FleetRetryBudget;
   readonly #startedAt: number;
   #ready = false;
 
@@ -138,6 +139,11 @@
       holdMs: Math.min(HOLD_MS, cfg.maxHoldMs),
       signal: this.#end.signal,
     });
+    this.#budget = new FleetRetryBudget({
+      clock,
+      bound: cfg.retries,
+      vms: () => view.vms,
+    });
     this.#callers = new DirectListener({
       clock,
       logger,
@@ -145,11 +151,7 @@
         view,
         work,
         protocol,
-        budget: new FleetRetryBudget({
-          clock,
-          bound: cfg.retries,
-          vms: () => view.vms,
-        }),
+        budget: this.#budget,
         clock,
         logger,
         metrics,
@@ -219,6 +221,16 @@
     logger.info({}, "router stopped");
   }
 
+  /**
+   * Applies changed settings. Addresses and the VM's place stay as they were
+   * at the start.
+   *
+   * @param cfg - checked settings
+   */
+  reload(cfg: Pick<DirectSettings, "retries">): void {
+    this.#budget.setBound(cfg.retries);
+  }
+
   async #stop(): Promise<void> {
     const { cfg, logger } = this.#opts;
     logger.info({ stopMs: cfg.stopMs }, "graceful stop begins");
--- a/src/limits/fleet_retry_budget.ts
+++ b/src/limits/fleet_retry_budget.ts
@@ -21,7 +21,7 @@
  */
 export class FleetRetryBudget {
   readonly #clock: Clock;
-  readonly #bound: Bound;
+  #bound: Bound;
   readonly #vms: () => number;
   readonly #services = new Map<
     string,
@@ -38,6 +38,11 @@
     this.#vms = options.vms;
   }
 
+  /** @param bound - new bound; its window takes effect for new services */
+  setBound(bound: Bound): void {
+    this.#bound = bound;
+  }
+
   /**
    * Counts a caller's request.
    *
--- a/src/ranges/service_ranges.ts
+++ b/src/ranges/service_ranges.ts
@@ -4,6 +4,7 @@
 import type { FleetView } from "../direct/fleet_view.ts";
 import type { Upstream } from "../direct/upstream.ts";
 import type { RowStore } from "../rows/row_store.ts";
+import { withTimeout } from "../vms/with_timeout.ts";
 import { encodeRangeDocument } from "./encode_range_document.ts";
 import type { KeeperLease } from "./keeper_lease.ts";
 import type { KeyLoad } from "./key_load.ts";
@@ -271,9 +272,14 @@
     // What is on its way may arrive at any moment.
     const latest = startedAt + ORDER_TIMEOUT_MS + this.#leaseMs();
     this.#heldUntil.set(holder, Math.max(before, latest));
-    const result = await grants.grant(
-      { address, id, first, last, fence, holdMs, handover },
-      AbortSignal.any([signal, AbortSignal.timeout(ORDER_TIMEOUT_MS)]),
+    const result = await withTimeout(
+      { clock, ms: ORDER_TIMEOUT_MS },
+      signal,
+      (either) =>
+        grants.grant(
+          { address, id, first, last, fence, holdMs, handover },
+          either,
+        ),
     );
     const until = clock.now() + this.#leaseMs();
     if (result !== "not_sent") {
@@ -365,9 +371,14 @@
       }
       const address = this.#addresses.get(previous.id);
       if (address !== undefined) {
-        const released = await grants.release(
-          { address, id: previous.id, first, last, fence },
-          AbortSignal.any([signal, AbortSignal.timeout(RELEASE_TIMEOUT_MS)]),
+        const released = await withTimeout(
+          { clock, ms: RELEASE_TIMEOUT_MS },
+          signal,
+          (either) =>
+            grants.release(
+              { address, id: previous.id, first, last, fence },
+              either,
+            ),
         );
         metrics.orders.inc({ order: "release", result: released.kind });
         logger.info({
--- a/src/rows/table_follower.ts
+++ b/src/rows/table_follower.ts
@@ -88,7 +88,7 @@
   async #readAll(signal: AbortSignal): Promise<RowStoreError | undefined> {
     const { store, table, onSnapshot } = this.#opts;
     const read = await store.readTable(table, signal);
-    if (read.isErr()) return this.#lost(read.error);
+    if (read.isErr()) return this.#lost(read.error, signal);
     this.#version = read.value.version;
     this.#confirm();
     onSnapshot(read.value.rows);
@@ -101,7 +101,7 @@
   ): Promise<RowStoreError | undefined> {
     const { store, table, waitMs, onChanges } = this.#opts;
     const read = await store.waitForChanges({ table, after, waitMs }, signal);
-    if (read.isErr()) return this.#lost(read.error);
+    if (read.isErr()) return this.#lost(read.error, signal);
     this.#version = read.value.version;
     this.#confirm();
     if (read.value.changes.length > 0) onChanges(read.value.changes);
@@ -117,8 +117,10 @@
     logger.info({ table, version: this.#version }, "table feed regained");
   }
 
-  #lost(err: RowStoreError): RowStoreError {
+  #lost(err: RowStoreError, signal: AbortSignal): RowStoreError {
     const { logger, table } = this.#opts;
+    // The process stops; nothing is wrong with the store.
+    if (signal.aborted) return err;
     if (err.kind === "history_lost") {
       logger.warn({ table, version: this.#version }, "table history lost");
     } else if (this.#reachable) {
