--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -52,7 +52,7 @@
 /** Calls to the store are billed; a tenth of the time for changes (2.5 s). */
 const GATHER_MS = 250;
 /** Callers wait for keys that move. */
-const GATHER_OWNERS_MS = 40;
+const GATHER_OWNERS_MS = 80;
 /** Number of VMs until the keeper has counted them. */
 const ASSUMED_VMS = 12;
 const DEFAULT_BODY_BYTES = 1024 * 1024;
--- a/src/ranges/service_ranges.ts
+++ b/src/ranges/service_ranges.ts
@@ -42,6 +42,8 @@
 };
 
 const TICK_MS = 60;
+/** Each write of the row costs every VM a call to the store. */
+const WRITE_MS = 120;
 const PLAN_MS = 300;
 /** Three renewals fit into a lease. */
 const RENEWALS_PER_HOLD = 3;
@@ -102,7 +104,7 @@
       else if (!this.#stale || await this.#read(signal)) {
         await this.#write(signal);
       }
-      await clock.sleep(TICK_MS, signal);
+      await clock.sleep(WRITE_MS, signal);
     }
   }
 
