refactor(direct): one connection limit, loads of ranges apart, named constants

Reading the diff as a newcomer: the limit on connections stood twice, the planner held two concerns, some figures had no name, and three failures had no log line.

--- a/src/direct/choose_upstream.ts
+++ b/src/direct/choose_upstream.ts
@@ -1,4 +1,5 @@
 import type { Choice } from "./choice.ts";
+import { connectionLimit } from "./connection_limit.ts";
 import type { FleetView } from "./fleet_view.ts";
 import type { Route } from "./route.ts";
 import type { Upstream } from "./upstream.ts";
@@ -42,9 +43,6 @@
 const ADMITTED_PART = 0.85;
 /** The same for requests that are less urgent than others of the service. */
 const ADMITTED_PART_LESS_URGENT = 0.5;
-/** A VM uses at most this part of an upstream's connections. */
-const CONNECTIONS_PART = 0.8;
-const MIN_CONNECTIONS = 2;
 /** Planned moves of keys take some hundred ms. */
 const MOVE_WAIT_MS = 400;
 /** Well below the time after which a leaving upstream gets no work (2.5 s). */
@@ -136,10 +134,7 @@
       ? { kind: "wait", ms, reason: "upstream is cold" }
       : unavailable("upstreams are cold");
   }
-  const connections = Math.max(
-    MIN_CONNECTIONS,
-    Math.floor(CONNECTIONS_PART * policy.maxConnections / view.vms),
-  );
+  const connections = connectionLimit(policy, view.vms);
   const free = warm.filter(({ load }) => load.inFlight < connections);
   if (free.length === 0) return overloaded("no connection is free", 0);
   const best = pickBest(free.map((upstream) => rate(query, upstream)));
--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -69,6 +69,9 @@
 const HOLD_MS = 4000;
 const SWEEP_MS = 250;
 
+/** Reports are small, and a peer that is well sends them at once. */
+const PEER_REQUESTS = { maxHeaderBytes: 8192, headersTimeoutMs: 2000 };
+
 /** A router process that sends callers' requests straight to upstreams. */
 export class DirectDaemon {
   readonly #opts: Options;
@@ -171,7 +174,7 @@
     });
     this.#peers = new PeerListener({
       clock,
-      requests: { maxHeaderBytes: 8192, headersTimeoutMs: 2000 },
+      requests: PEER_REQUESTS,
       rpc: (req, res) => void rpc(req, res),
       hop: undefined,
       logger,
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -9,6 +9,7 @@
 import type { CallerCall } from "./caller_call.ts";
 import type { Choice } from "./choice.ts";
 import { chooseUpstream } from "./choose_upstream.ts";
+import { connectionLimit } from "./connection_limit.ts";
 import type { DirectMetrics } from "./direct_metrics.ts";
 import type { FleetView } from "./fleet_view.ts";
 import { judgeResult } from "./judge_result.ts";
@@ -67,8 +68,6 @@
 const START_WAIT_MS = 400;
 /** When a refused caller may return, if nothing better is known. */
 const DEFAULT_RETRY_MS = 250;
-const CONNECTIONS_PART = 0.8;
-const MIN_CONNECTIONS = 2;
 
 /** Sends callers' requests straight to upstreams. */
 export class DirectRouter {
@@ -310,11 +309,9 @@
       protocol,
       clock,
       deadlineAt,
-      maxConnections: Math.max(
-        MIN_CONNECTIONS,
-        Math.floor(
-          CONNECTIONS_PART * (policy?.maxConnections ?? 0) / view.vms,
-        ),
+      maxConnections: connectionLimit(
+        policy ?? { maxConnections: 0 },
+        view.vms,
       ),
       // A request that may run only once goes on when its caller has left:
       // cutting it would leave open whether it has run.
--- a/src/ranges/keeper_lease.ts
+++ b/src/ranges/keeper_lease.ts
@@ -110,6 +110,12 @@
 
   /** The keeper does not answer. */
   suspect(): void {
+    if (!this.#suspect) {
+      this.#opts.logger.warn(
+        { keeper: this.#seen?.row?.vm, version: this.#seen?.version },
+        "keeper does not answer",
+      );
+    }
     this.#suspect = true;
     this.#suspected.notify();
   }
@@ -259,11 +265,17 @@
   }
 
   async #look(): Promise<LeaseRow | undefined | "unknown"> {
-    const { store, table, clock, signal } = this.#opts;
+    const { store, table, clock, signal, logger } = this.#opts;
     const read = await store.readTable(table, signal);
-    if (read.isErr()) return "unknown";
+    if (read.isErr()) {
+      logger.info({ err: read.error }, "keeper lease not read");
+      return "unknown";
+    }
     const found = read.value.rows.find((row) => row.key === KEY);
     const row = found === undefined ? undefined : parseRow(found.value);
+    if (found !== undefined && row === undefined) {
+      logger.error({ version: found.version }, "keeper lease is malformed");
+    }
     const version = found?.version ?? 0;
     if (this.#seen?.version !== version || this.#seen.row === undefined) {
       this.#seen = { row, version, since: clock.now() };
--- a/src/ranges/key_load.ts
+++ b/src/ranges/key_load.ts
@@ -1,5 +1,7 @@
 /** Recent requests weigh more; this is when the weight has fallen to 1/e. */
 const DECAY_MS = 1500;
+/** Rates are brought up to date in steps, not with each report. */
+const DECAY_STEP_MS = 100;
 /** Below this rate a key counts as idle again. */
 const MIN_PER_S = 0.02;
 const MS_PER_S = 1000;
@@ -40,7 +42,7 @@
 
   #decay(now: number): void {
     const ms = now - this.#at;
-    if (ms < 100) return;
+    if (ms < DECAY_STEP_MS) return;
     this.#at = now;
     const factor = Math.exp(-ms / DECAY_MS);
     for (const [key, rate] of this.#rates) {
--- a/src/ranges/plan_ranges.ts
+++ b/src/ranges/plan_ranges.ts
@@ -1,5 +1,6 @@
 import type { KeyRange } from "./key_range.ts";
 import type { RangeDocument } from "./range_document.ts";
+import { RangeLoads } from "./range_loads.ts";
 
 type Holder = {
   id: string;
@@ -20,10 +21,6 @@
 type Loaded = Holder & { perS: number; ranges: number };
 
 const KEYS = 65_536;
-/** Keys without recent requests share this part of the observed rate. */
-const IDLE_PART = 0.2;
-/** Rate of all keys together when there are no requests. */
-const IDLE_PER_S = 1;
 /** An upstream above this part of its capacity may hand keys over. */
 const BUSY_PART = 0.6;
 /** It must be this far above the mean, in parts of the mean. */
@@ -42,66 +39,16 @@
 /** A new upstream starts with this part of the mean. */
 const NEW_PART = 0.5;
 
-/** The load that ranges put on their owners. */
-class Loads {
-  readonly #keys: readonly number[];
-  readonly #sums: readonly number[];
-  readonly #idlePerKey: number;
-  readonly total: number;
-
-  constructor(rates: Input["rates"]) {
-    this.#keys = rates.map(([key]) => key);
-    const sums = [0];
-    for (const [, rate] of rates) sums.push((sums.at(-1) ?? 0) + rate);
-    this.#sums = sums;
-    const observed = sums.at(-1) ?? 0;
-    const idle = IDLE_PER_S + IDLE_PART * observed;
-    this.#idlePerKey = idle / KEYS;
-    this.total = observed + idle;
-  }
-
-  /** Requests a second for the keys from `first` to `last`. */
-  of(first: number, last: number): number {
-    const from = lowerBound(this.#keys, first);
-    const to = lowerBound(this.#keys, last + 1);
-    const observed = (this.#sums[to] ?? 0) - (this.#sums[from] ?? 0);
-    return observed + (last - first + 1) * this.#idlePerKey;
-  }
-
-  /** The last key of the least part from `first` on with a given load. */
-  cut(first: number, last: number, perS: number): number {
-    let low = first;
-    let high = last;
-    while (low < high) {
-      const middle = (low + high) >> 1;
-      if (this.of(first, middle) < perS) low = middle + 1;
-      else high = middle;
-    }
-    return low;
-  }
-}
-
-function lowerBound(keys: readonly number[], key: number): number {
-  let low = 0;
-  let high = keys.length;
-  while (low < high) {
-    const middle = (low + high) >> 1;
-    if ((keys[middle] ?? Infinity) < key) low = middle + 1;
-    else high = middle;
-  }
-  return low;
-}
-
 /** One round of planning; ranges stay in ascending order. */
 class Plan {
-  readonly #loads: Loads;
+  readonly #loads: RangeLoads;
   readonly #holders: Map<string, Loaded>;
   #ranges: KeyRange[];
   #nextFence: number;
   changed = false;
 
   constructor({ document, holders, rates }: Input) {
-    this.#loads = new Loads(rates);
+    this.#loads = new RangeLoads(rates);
     this.#ranges = [...document?.ranges ?? []];
     this.#nextFence = document?.nextFence ?? 1;
     this.#holders = new Map(
--- a/src/ranges/range_keeper.ts
+++ b/src/ranges/range_keeper.ts
@@ -97,7 +97,7 @@
 
   /** Asks the earlier keeper to stop, so that its leases can be counted out. */
   async #succeed(): Promise<void> {
-    const { lease, peers, clock, signal, self } = this.#opts;
+    const { lease, peers, clock, signal, self, logger } = this.#opts;
     while (!signal.aborted) {
       const peerUrl = lease.predecessorUrl;
       if (peerUrl !== undefined) {
@@ -109,6 +109,12 @@
           timeoutMs: REPORT_TIMEOUT_MS,
         }, signal);
         if (answer.isOk() && answer.value.yielded) lease.onYielded();
+        else {
+          logger.info({
+            peerUrl,
+            err: answer.isErr() ? answer.error : undefined,
+          }, "earlier keeper has not yielded");
+        }
       }
       await clock.sleep(SUCCEED_MS, signal);
     }
@@ -212,7 +218,7 @@
       logger.debug({
         keeperUrl,
         err: answer.isErr() ? answer.error : undefined,
-      }, "keeper does not answer");
+      }, "report not taken");
       lease.suspect();
       return;
     }
--- a/src/rows/table_follower.ts
+++ b/src/rows/table_follower.ts
@@ -23,6 +23,8 @@
 
 /** First pause after a failed call; doubled up to `MAX_PAUSE_MS`. */
 const MIN_PAUSE_MS = 100;
+/** VMs that lost the store together come back apart: 0.5 to 1.5 pauses. */
+const MIN_JITTER = 0.5;
 /** Well below the time in which changes must be in force (2.5 s). */
 const MAX_PAUSE_MS = 800;
 
@@ -80,7 +82,7 @@
         this.#version = undefined;
         continue;
       }
-      await clock.sleep(pauseMs * (0.5 + Math.random()), signal);
+      await clock.sleep(pauseMs * (MIN_JITTER + Math.random()), signal);
       pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
     }
   }
