--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
 import { httpHeaders } from "../../platform/http_headers.ts";
+import type { Clock } from "../../src/base/clock.ts";
 import { systemClock } from "../../src/base/system_clock.ts";
 import type { CallerCall } from "../../src/direct/caller_call.ts";
 import { DirectMetrics } from "../../src/direct/direct_metrics.ts";
@@ -46,6 +47,24 @@
   }
 }
 
+function routerOf(rig: FleetRig<Clock>, slack: number): DirectRouter {
+  return new DirectRouter({
+    view: rig.view,
+    work: new WorkTimes(),
+    protocol: httpHeaders,
+    budget: new FleetRetryBudget({
+      clock: rig.clock,
+      bound: { ratio: 0, windowMs: 10_000, slack },
+      vms: () => 1,
+    }),
+    clock: rig.clock,
+    logger: silentLogger(),
+    metrics: new DirectMetrics(),
+    place: { failureDomain: "a1", region: "a" },
+    onKey: () => undefined,
+  });
+}
+
 /** A router and upstreams, each of which behaves in its own way. */
 async function serve(
   behaviours: Behaviour[],
@@ -73,21 +92,7 @@
       failureDomain: index === 0 ? "a1" : "b1",
     });
   }
-  const router = new DirectRouter({
-    view: rig.view,
-    work: new WorkTimes(),
-    protocol: httpHeaders,
-    budget: new FleetRetryBudget({
-      clock: systemClock,
-      bound: { ratio: 0, windowMs: 10_000, slack: options.slack ?? 50 },
-      vms: () => 1,
-    }),
-    clock: systemClock,
-    logger: silentLogger(),
-    metrics: new DirectMetrics(),
-    place: { failureDomain: "a1", region: "a" },
-    onKey: () => undefined,
-  });
+  const router = routerOf(rig, options.slack ?? 50);
   const call: CallerCall = {
     requestId: ID,
     method: "POST",
@@ -218,21 +223,7 @@
   // the configuration has been read. Guards: refusals use up their repeats.
   it("lets a request wait for what a start reads, but not long", async () => {
     const rig = FleetRig.manual();
-    const router = new DirectRouter({
-      view: rig.view,
-      work: new WorkTimes(),
-      protocol: httpHeaders,
-      budget: new FleetRetryBudget({
-        clock: rig.clock,
-        bound: { ratio: 0, windowMs: 10_000, slack: 5 },
-        vms: () => 1,
-      }),
-      clock: rig.clock,
-      logger: silentLogger(),
-      metrics: new DirectMetrics(),
-      place: { failureDomain: "a1", region: "a" },
-      onKey: () => undefined,
-    });
+    const router = routerOf(rig, 5);
     const ask = () =>
       router.handle({
         requestId: ID,
@@ -256,21 +247,7 @@
 
   it("refuses at once when it has long been without configuration", async () => {
     const rig = FleetRig.manual();
-    const router = new DirectRouter({
-      view: rig.view,
-      work: new WorkTimes(),
-      protocol: httpHeaders,
-      budget: new FleetRetryBudget({
-        clock: rig.clock,
-        bound: { ratio: 0, windowMs: 10_000, slack: 5 },
-        vms: () => 1,
-      }),
-      clock: rig.clock,
-      logger: silentLogger(),
-      metrics: new DirectMetrics(),
-      place: { failureDomain: "a1", region: "a" },
-      onKey: () => undefined,
-    });
+    const router = routerOf(rig, 5);
     await rig.clock.advance(5000);
     const outcome = await router.handle({
       requestId: ID,
