fix(ranges): forget ranges, grants and speeds of the past

Cause: the keeper kept an entry for each range that ever was, and for each upstream that ever had keys. Change: each write of the owners drops what no range and no registered upstream names. Found by reading; the tests of the folder pass.

--- a/src/ranges/range_keeper.ts
+++ b/src/ranges/range_keeper.ts
@@ -187,6 +187,9 @@
   #speeds(): Record<string, number> {
     const { view, clock } = this.#opts;
     const speeds: Record<string, number> = {};
+    for (const id of this.#told.keys()) {
+      if (view.upstream(id) === undefined) this.#told.delete(id);
+    }
     for (const { entry, load } of view.upstreams) {
       const keyed = view.policy(entry.service)?.keyed === true;
       const speed = Math.round(load.usualTime(clock.now()) * 10) / 10;
@@ -240,6 +243,9 @@
     for (const [service, counts] of Object.entries(report.counts)) {
       this.#load(service).add(counts, now);
     }
+    for (const id of this.#reported.keys()) {
+      if (view.upstream(id) === undefined) this.#reported.delete(id);
+    }
     for (const [id, speed] of Object.entries(report.speeds)) {
       const before = this.#reported.get(id);
       this.#reported.set(
--- a/src/ranges/service_ranges.ts
+++ b/src/ranges/service_ranges.ts
@@ -173,9 +173,33 @@
     }
     for (const fence of arrived) this.#arrived.delete(fence);
     this.#table = new RangeTable(outcome.value.version, planned);
+    this.#forget(planned);
     view.setRanges(service, this.#table);
   }
 
+  /** Drops what concerns earlier ranges and upstreams that are long gone. */
+  #forget({ ranges }: RangeDocument): void {
+    const { clock, view } = this.#opts;
+    const keys = new Set(ranges.map(renewalKey));
+    for (const key of this.#renewals.keys()) {
+      if (!keys.has(key)) this.#renewals.delete(key);
+    }
+    const holders = new Set(
+      ranges.flatMap(({ owner, previous }) => [owner, ...previous])
+        .map(holderKey),
+    );
+    const now = clock.now();
+    for (const [holder, until] of this.#heldUntil) {
+      if (until < now && !holders.has(holder)) this.#heldUntil.delete(holder);
+    }
+    const ids = new Set([...holders].map(idOfHolderKey));
+    for (const id of this.#addresses.keys()) {
+      if (view.upstream(id) === undefined && !ids.has(id)) {
+        this.#addresses.delete(id);
+      }
+    }
+  }
+
   #plan(document: RangeDocument): RangeDocument | undefined {
     const { clock, view, service, load, workMs, logger } = this.#opts;
     const now = clock.now();
@@ -226,7 +250,7 @@
     const { clock, view, holdMs } = this.#opts;
     const upstream = view.upstream(range.owner.id);
     if (!isOwner(range, upstream)) return;
-    const key = `${range.first}-${range.last}-${range.fence}`;
+    const key = renewalKey(range);
     const now = clock.now();
     const renewal = this.#renewals.get(key);
     if (renewal !== undefined) {
@@ -329,9 +353,8 @@
       if (!isOwner(range, upstream)) return false;
       const result = await this.#grant(range, upstream, handover, signal);
       if (result === "granted") {
-        const key = `${range.first}-${range.last}-${range.fence}`;
         const now = clock.now();
-        this.#renewals.set(key, {
+        this.#renewals.set(renewalKey(range), {
           grantedAt: now,
           triedAt: now,
           busy: false,
@@ -426,10 +449,18 @@
   }
 }
 
+function renewalKey({ first, last, fence }: KeyRange): string {
+  return `${first}-${last}-${fence}`;
+}
+
 function holderKey(holder: { id: string; incarnation: number }): string {
   return `${holder.id}/${holder.incarnation}`;
 }
 
+function idOfHolderKey(key: string): string {
+  return key.slice(0, key.lastIndexOf("/"));
+}
+
 function isOwner(
   range: KeyRange,
   upstream: Upstream | undefined,
