--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -9,11 +9,9 @@
     if (existsSync(file)) entryPoints[name] = file;
   }
 }
-const outdir = process.argv.find((arg) => arg.startsWith("--outdir="))
-  ?.slice("--outdir=".length) ?? "dist";
 await build({
   entryPoints,
-  outdir,
+  outdir: "dist",
   outExtension: { ".js": ".cjs" },
   bundle: true,
   platform: "node",
--- /dev/null
+++ b/tests/platform/table_client_test.ts
@@ -0,0 +1,92 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { TableClient } from "../../platform/table_client.ts";
+import { systemClock } from "../../src/base/system_clock.ts";
+import { HttpRowStore } from "../support/http_row_store.ts";
+import { MemoryRowStore } from "../support/memory_row_store.ts";
+
+const signal = new AbortController().signal;
+
+function write(key: string, value: string, version?: number) {
+  return {
+    expect: version === undefined ? [] : [{ table: "t", key, version }],
+    writes: [{ table: "t", key, value: Buffer.from(value) }],
+    remove: [],
+  };
+}
+
+describe("TableClient", () => {
+  const memory = new MemoryRowStore(systemClock);
+  const http = new HttpRowStore(memory);
+  let client: TableClient;
+  before(async () => {
+    await http.listen();
+    client = new TableClient(`127.0.0.1:${http.port}`);
+  });
+  after(async () => {
+    await client.close();
+    http.close();
+  });
+
+  it("writes under a condition, and tells what stands in the way", async () => {
+    const first = (await client.transact(write("a", "1", 0), signal))
+      ._unsafeUnwrap();
+    assert.equal(first.kind, "applied");
+    const second = (await client.transact(write("a", "2", 0), signal))
+      ._unsafeUnwrap();
+    assert.ok(second.kind === "conflict");
+    assert.equal(Buffer.from(second.rows[0]?.value ?? []).toString(), "1");
+  });
+
+  it("reads a table of several pages", async () => {
+    for (let n = 0; n < 1200; n++) memory.put("big", `k${n}`, String(n));
+    const read = (await client.readTable("big", signal))._unsafeUnwrap();
+    assert.equal(read.rows.length, 1200);
+    assert.equal(new Set(read.rows.map(({ key }) => key)).size, 1200);
+  });
+
+  it("follows changes and drops", async () => {
+    const { version } = (await client.readTable("t", signal))._unsafeUnwrap();
+    memory.put("t", "b", "2");
+    memory.drop("t", "b");
+    const read = (await client.waitForChanges(
+      { table: "t", after: version, waitMs: 1000 },
+      signal,
+    ))._unsafeUnwrap();
+    assert.deepEqual(read.changes.map(({ kind }) => kind), [
+      "written",
+      "removed",
+    ]);
+    assert.ok(read.version > version);
+  });
+
+  it("says that the history is lost", async () => {
+    memory.forgotten = 1e9;
+    const read = await client.waitForChanges(
+      { table: "t", after: 1, waitMs: 1000 },
+      signal,
+    );
+    memory.forgotten = 0;
+    assert.equal(read._unsafeUnwrapErr().kind, "history_lost");
+  });
+
+  // What the store does, and whether the call may have been done.
+  const faults = [
+    ["busy", "unavailable", false],
+    ["many", "unavailable", false],
+    ["reset", "unknown", false],
+    ["silent", "unknown", false],
+    ["lost", "unknown", true],
+    ["rubbish", "unknown", false],
+  ] as const;
+  for (const [fault, kind, done] of faults) {
+    it(`${fault}: ${kind}`, async () => {
+      http.fault = fault;
+      const outcome = await client.transact(write(fault, "1"), signal);
+      http.fault = "none";
+      assert.equal(outcome._unsafeUnwrapErr().kind, kind);
+      const read = (await client.readTable("t", signal))._unsafeUnwrap();
+      assert.equal(read.rows.some(({ key }) => key === fault), done);
+    });
+  }
+});
