--- a/tests/direct/fleet_view_test.ts
+++ b/tests/direct/fleet_view_test.ts
@@ -36,6 +36,18 @@
     assert.equal(rig.view.upstream("back"), back);
   });
 
+  // Guards: a VM that alone was cut off goes on sending to an upstream that
+  // left meanwhile, for as long as entries may be missing after an outage.
+  it("drops an upstream that alone is missing when the registry returns", () => {
+    const rig = FleetRig.manual();
+    for (let n = 0; n < 10; n++) rig.upstream({ id: `u-${n}` });
+    const kept = [...rig.view.upstreams].map(({ entry }) => entry)
+      .filter(({ id }) => id !== "u-3");
+    rig.view.onRegistryRegained();
+    rig.view.setRegistry(kept);
+    assert.equal(rig.view.upstream("u-3"), undefined);
+  });
+
   it("takes a new life under the same id for another upstream", () => {
     const rig = FleetRig.manual();
     const before = rig.upstream();
