fix(direct): drop upstreams that left while only this VM was cut off

Ruled out: the feed, which returned 1.2 s after the cut; the draining state, whose row was gone. Change: the grace holds only if more than a quarter of the registry is missing in one answer, whether the table was read whole or its feed told.

--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -22,6 +22,11 @@
  * back within two seconds of its return.
  */
 const REGISTRY_RETURN_MS = 2200;
+/**
+ * In an outage of the registry itself, entries lapse together. A smaller part
+ * that is missing has left while only this VM was cut off.
+ */
+const LAPSED_PART = 0.25;
 const VMS_MEMORY_MS = 10_000;
 
 /** What this VM believes of the deployment. */
@@ -262,16 +267,23 @@
     this.changed.notify();
   }
 
-  /** @param id - id of an upstream whose registry entry is gone */
-  removeUpstream(id: string): void {
-    const { clock } = this.#opts;
-    if (!this.#upstreams.has(id)) return;
-    const graceEnds = this.#registryRegainedAt + REGISTRY_RETURN_MS;
-    if (clock.now() < graceEnds) {
-      this.#missingSince.set(id, clock.now());
-      return;
+  /**
+   * @param ids - upstreams whose registry entries are gone, as one answer of
+   * the registry told
+   */
+  removeUpstreams(ids: readonly string[]): void {
+    const { clock, logger } = this.#opts;
+    const now = clock.now();
+    const known = ids.filter((id) => this.#upstreams.has(id));
+    const lapsed = now < this.#registryRegainedAt + REGISTRY_RETURN_MS &&
+      known.length > this.#upstreams.size * LAPSED_PART;
+    if (lapsed) {
+      logger.warn({ missing: known }, "registry entries may have lapsed");
+    }
+    for (const id of known) {
+      if (lapsed) this.#missingSince.set(id, now);
+      else this.#forget(id);
     }
-    this.#forget(id);
   }
 
   /** Drops upstreams whose entries did not return in time. */
@@ -286,9 +298,9 @@
   setRegistry(entries: readonly UpstreamEntry[]): void {
     const present = new Set(entries.map((entry) => entry.id));
     for (const entry of entries) this.setUpstream(entry);
-    for (const id of [...this.#upstreams.keys()]) {
-      if (!present.has(id)) this.removeUpstream(id);
-    }
+    this.removeUpstreams(
+      [...this.#upstreams.keys()].filter((id) => !present.has(id)),
+    );
     this.#registryRead = true;
     this.changed.notify();
   }
--- a/tests/direct/fleet_view_test.ts
+++ b/tests/direct/fleet_view_test.ts
@@ -14,7 +14,7 @@
   it("drops an upstream whose entry is gone", () => {
     const rig = FleetRig.manual();
     rig.upstream();
-    rig.view.removeUpstream("u-1");
+    rig.view.removeUpstreams(["u-1"]);
     assert.equal(rig.view.upstream("u-1"), undefined);
   });
 
@@ -46,6 +46,9 @@
     rig.view.onRegistryRegained();
     rig.view.setRegistry(kept);
     assert.equal(rig.view.upstream("u-3"), undefined);
+    // The same when the feed tells it.
+    rig.view.removeUpstreams(["u-4", "u-5"]);
+    assert.equal(rig.view.upstream("u-4"), undefined);
   });
 
   it("takes a new life under the same id for another upstream", () => {
--- a/tests/ranges/service_ranges_test.ts
+++ b/tests/ranges/service_ranges_test.ts
@@ -55,7 +55,7 @@
     const one = await started(rig);
     rig.upstreams.dark.add("u-3");
     await rig.pass(2600);
-    one.view.removeUpstream("u-3");
+    one.view.removeUpstreams(["u-3"]);
     await rig.pass(4500);
     assert.equal(rig.heldOnce(), 1);
     assert.deepEqual(rig.upstreams.conflicts, []);
