--- a/src/direct/direct_listener.ts
+++ b/src/direct/direct_listener.ts
@@ -3,12 +3,11 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
-import type { Refusal } from "../base/refusal.ts";
-import { REFUSAL_STATUS } from "../base/refusal_status.ts";
 import { refuseBrokenRequest } from "../entry/refuse_broken_request.ts";
 import { DrainingServer } from "../links/draining_server.ts";
 import { endToEndHeaders } from "../links/end_to_end_headers.ts";
 import { hasBody } from "../links/has_body.ts";
+import { writeRefusal } from "../links/write_refusal.ts";
 import type { CallerCall } from "./caller_call.ts";
 import type { CallOutcome } from "./call_outcome.ts";
 import type { DirectRouter } from "./direct_router.ts";
@@ -118,11 +117,17 @@
       const body = await readBody(req, this.#opts.maxBodyBytes());
       if (body === "gone") return;
       if (body === "too_large") {
-        this.#refuse(res, requestId, {
-          code: "body_too_large",
-          outcome: "not_run",
-          message: "the body is too large",
-        }, undefined);
+        const maxBodyBytes = this.#opts.maxBodyBytes();
+        this.#answer(req, res, requestId, {
+          kind: "refused",
+          refusal: {
+            code: "body_too_large",
+            outcome: "not_run",
+            message: `the body exceeds ${maxBodyBytes} bytes`,
+            data: { maxBodyBytes },
+          },
+          retryAfterMs: undefined,
+        });
         return;
       }
       const call: CallerCall = {
@@ -136,7 +141,12 @@
         deadlineMs: told.deadlineMs,
         key: told.key,
       };
-      this.#answer(req, res, call, await router.handle(call, gone.signal));
+      this.#answer(
+        req,
+        res,
+        requestId,
+        await router.handle(call, gone.signal),
+      );
     } catch (err) {
       // A broken invariant ends one request, not the router.
       logger.error({ err, reqId: requestId }, "request failed");
@@ -148,21 +158,22 @@
   #answer(
     req: IncomingMessage,
     res: ServerResponse,
-    call: CallerCall,
+    requestId: string,
     outcome: CallOutcome,
   ): void {
     switch (outcome.kind) {
       case "gone":
         res.destroy();
         return;
-      case "refused":
-        this.#refuse(
-          res,
-          call.requestId,
-          outcome.refusal,
-          outcome.retryAfterMs,
+      case "refused": {
+        const { refusal, retryAfterMs } = outcome;
+        const headers = this.#opts.protocol.refusalHeaders(
+          requestId,
+          retryAfterMs,
         );
+        writeRefusal({ req, res, refusal, requestId, headers });
         return;
+      }
       case "answered": {
         if (res.destroyed) return;
         const { status, headers, body, framed } = outcome;
@@ -181,22 +192,6 @@
       }
     }
   }
-
-  #refuse(
-    res: ServerResponse,
-    requestId: string,
-    refusal: Refusal,
-    retryAfterMs: number | undefined,
-  ): void {
-    if (res.destroyed) return;
-    const text = JSON.stringify({ ...refusal, requestId });
-    res.writeHead(REFUSAL_STATUS[refusal.code], {
-      "content-type": "application/json",
-      "content-length": Buffer.byteLength(text),
-      ...this.#opts.protocol.refusalHeaders(requestId, retryAfterMs),
-    });
-    res.end(text);
-  }
 }
 
 async function readBody(
--- a/src/links/write_refusal.ts
+++ b/src/links/write_refusal.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Refusal } from "../base/refusal.ts";
+import { REFUSAL_NEXT_STEP } from "../base/refusal_next_step.ts";
 import { REFUSAL_STATUS } from "../base/refusal_status.ts";
 import { HOP_HEADER } from "./hop_header.ts";
 
@@ -45,6 +46,7 @@
     code: refusal.code,
     outcome: refusal.outcome,
     message: refusal.message,
+    next: REFUSAL_NEXT_STEP[refusal.code],
     requestId: opts.requestId,
     data: refusal.data ?? {},
   }));
--- a/tests/direct/direct_listener_test.ts
+++ b/tests/direct/direct_listener_test.ts
@@ -69,6 +69,7 @@
     assert.match(text, /^HTTP\/1.1 503 /);
     assert.match(text, /retry-after: 0.250\r\n/i);
     assert.match(text, /fescuerun-request-id: 9c41d07be2a35f68/i);
+    assert.match(text, /"next":"repeats with a growing pause"/);
     caller.socket.destroy();
     await listener.drain(AbortSignal.abort());
   });
--- a/tests/docs/pages_test.ts
+++ b/tests/docs/pages_test.ts
@@ -8,6 +8,7 @@
 import { AuditRow } from "../../src/admin/audit_row.ts";
 import { METRIC_CATALOGUE } from "../../src/base/metric_catalogue.ts";
 import { RefusalCode } from "../../src/base/refusal_code.ts";
+import { REFUSAL_NEXT_STEP } from "../../src/base/refusal_next_step.ts";
 import { REFUSAL_STATUS } from "../../src/base/refusal_status.ts";
 import { EXIT_CODE } from "../../src/cli/exit_code.ts";
 import { EXIT_CODE_OF } from "../../src/cli/exit_code_of.ts";
@@ -99,6 +100,10 @@
   const expected = Object.entries(REFUSAL_STATUS);
   const rows = operations.rows("Refusal codes");
   assertSame([...rows].map(([code, [status]]) => [code, status]), expected);
+  assertSame(
+    [...rows].map(([code, cells]) => [code, cells[2]]),
+    Object.entries(REFUSAL_NEXT_STEP),
+  );
   for (const [code, cells] of rows) {
     assert.match(cells[1] ?? "", /^(not_run|outcome_unknown|either)$/, code);
     assert.ok(cells.length === 4 && cells.every((cell) => cell !== ""), code);
--- a/tests/ranges/service_ranges_test.ts
+++ b/tests/ranges/service_ranges_test.ts
@@ -14,6 +14,22 @@
 }
 
 describe("ServiceRanges", () => {
+  // Guards: an unreadable row passes for none, and fencing tokens start anew.
+  it("writes nothing over a row that it cannot read", async () => {
+    const rig = new RangeRig();
+    rig.store.put("ranges", "ledger", '{"schema":2}');
+    const one = rig.keeper("vm-1", IDS);
+    void one.lease.run();
+    void one.ranges.run(one.end.signal);
+    await rig.pass(3000);
+    assert.equal(rig.upstreams.grants, 0);
+    const row = [...rig.store.rows.values()].find(({ key }) =>
+      key === "ledger"
+    );
+    assert.equal(Buffer.from(row?.value ?? []).toString(), '{"schema":2}');
+    one.end.abort();
+  });
+
   // Guards: a keeper that cannot reach the store stops renewing, and all keys
   // lapse although their owners are well.
   for (const fault of ["down", "silent", "lost"] as const) {
