refactor(direct): sending to upstreams apart from the decisions on a request

Cause: direct_router held the course of a request and what is learned from each send, in 450 lines. Change: UpstreamSender and CallState; code moved as it was. Tests: those of the folder pass.

--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -3,19 +3,18 @@
 import type { RefusalCode } from "../base/refusal_code.ts";
 import type { FleetRetryBudget } from "../limits/fleet_retry_budget.ts";
 import { waitForChange } from "../vms/wait_for_change.ts";
-import { attempt } from "./attempt.ts";
 import type { AttemptResult } from "./attempt_result.ts";
+import type { CallState } from "./call_state.ts";
 import type { CallOutcome } from "./call_outcome.ts";
 import type { CallerCall } from "./caller_call.ts";
 import type { Choice } from "./choice.ts";
 import { chooseUpstream } from "./choose_upstream.ts";
-import { connectionLimit } from "./connection_limit.ts";
 import type { DirectMetrics } from "./direct_metrics.ts";
 import type { FleetView } from "./fleet_view.ts";
 import { judgeResult } from "./judge_result.ts";
-import type { Route } from "./route.ts";
 import { RouteSplitter } from "./route_splitter.ts";
 import type { Upstream } from "./upstream.ts";
+import { UpstreamSender } from "./upstream_sender.ts";
 import type { WireProtocol } from "./wire_protocol.ts";
 import type { WorkTimes } from "./work_times.ts";
 
@@ -32,26 +31,6 @@
   onKey: (service: string, key: number) => void;
 };
 
-/** One caller's request on its way. */
-type Call = {
-  call: CallerCall;
-  route: Route;
-  service: string;
-  keyed: boolean;
-  /** Monotonic milliseconds. */
-  deadlineAt: number;
-  tried: Set<Upstream>;
-  /** Requests that left this VM. */
-  sends: number;
-  notSent: number;
-  /** Whether an upstream may have run the request. */
-  mayHaveRun: boolean;
-  /** A failure that an upstream answered, in case no other does better. */
-  failure: Extract<AttemptResult, { kind: "answered" }> | undefined;
-  /** What happened, for the log. */
-  steps: string[];
-};
-
 /** Connections that fail are cheap to replace, but not for ever. */
 const MAX_NOT_SENT = 3;
 /** Answers 421 while the owner of a key changes. */
@@ -73,6 +52,7 @@
 export class DirectRouter {
   readonly #opts: Options;
   readonly #splitter = new RouteSplitter();
+  readonly #sender: UpstreamSender;
   readonly #startedAt: number;
 
   /**
@@ -80,6 +60,7 @@
    */
   constructor(opts: Options) {
     this.#opts = opts;
+    this.#sender = new UpstreamSender(opts);
     this.#startedAt = opts.clock.now();
   }
 
@@ -103,7 +84,7 @@
     if (keyed && call.key !== undefined) this.#opts.onKey(service, call.key);
     budget.onRequest(service);
     const limitMs = Math.min(call.deadlineMs ?? Infinity, route.timeoutMs);
-    const state: Call = {
+    const state: CallState = {
       call,
       route,
       service,
@@ -140,7 +121,7 @@
     }
   }
 
-  async #serve(state: Call, gone: AbortSignal): Promise<CallOutcome> {
+  async #serve(state: CallState, gone: AbortSignal): Promise<CallOutcome> {
     const { clock } = this.#opts;
     let misdirected = 0;
     const isGone = () => gone.aborted;
@@ -205,7 +186,7 @@
     }
   }
 
-  #choose(state: Call): Choice {
+  #choose(state: CallState): Choice {
     const { view, clock, place } = this.#opts;
     const now = clock.now();
     return chooseUpstream({
@@ -222,7 +203,7 @@
   }
 
   /** Whether the request may be sent once more; takes from the budget. */
-  #mayRepeat(state: Call): boolean {
+  #mayRepeat(state: CallState): boolean {
     const { clock, budget } = this.#opts;
     return state.sends < state.route.maxUpstreams + MAX_MISDIRECTED &&
       state.tried.size < state.route.maxUpstreams &&
@@ -232,7 +213,7 @@
 
   /** Waits for a change; returns false if there is no time for it. */
   async #waited(
-    state: Call,
+    state: CallState,
     ms: number,
     gone: AbortSignal,
   ): Promise<boolean> {
@@ -253,12 +234,12 @@
    * the request may run twice, to a second one.
    */
   async #send(
-    state: Call,
+    state: CallState,
     choice: Extract<Choice, { kind: "send" }>,
     gone: AbortSignal,
   ): Promise<{ upstream: Upstream; result: AttemptResult }> {
     const { clock } = this.#opts;
-    const first = this.#attempt(state, choice.upstream, gone);
+    const first = this.#sender.send(state, choice.upstream, gone);
     const { route, keyed } = state;
     if (!route.idempotent || keyed) return first;
     const hedgeMs = Math.max(
@@ -275,81 +256,13 @@
     const second = this.#choose(state);
     if (second.kind !== "send" || !this.#mayRepeat(state)) return first;
     state.steps.push("second upstream");
-    const other = this.#attempt(state, second.upstream, gone);
+    const other = this.#sender.send(state, second.upstream, gone);
     const winner = await Promise.race([first, other]);
     const { kind } = judgeResult(winner.result);
     if (kind === "deliver") return winner;
     return winner === await first ? other : first;
   }
 
-  async #attempt(
-    state: Call,
-    upstream: Upstream,
-    gone: AbortSignal,
-  ): Promise<{ upstream: Upstream; result: AttemptResult }> {
-    const { clock, view, protocol, metrics } = this.#opts;
-    const { call, route, service, deadlineAt } = state;
-    const policy = view.policy(service);
-    state.tried.add(upstream);
-    state.sends++;
-    const sentAt = clock.now();
-    const workMs = this.#opts.work.mean(route);
-    const expected = upstream.load.expect(workMs, sentAt);
-    const expectedMs = Math.round(expected.waitMs + expected.runMs);
-    state.steps.push(
-      `to ${upstream.entry.id} after ${
-        Math.round(sentAt - call.receivedAt)
-      } ms:` +
-        ` ${expectedMs} ms expected, ${upstream.load.describe(sentAt)}`,
-    );
-    const result = await attempt({
-      call,
-      upstream,
-      idempotent: route.idempotent,
-      protocol,
-      clock,
-      deadlineAt,
-      maxConnections: connectionLimit(
-        policy ?? { maxConnections: 0 },
-        view.vms,
-      ),
-      // A request that may run only once goes on when its caller has left:
-      // cutting it would leave open whether it has run.
-    }, route.idempotent ? gone : new AbortController().signal);
-    const now = clock.now();
-    const { kind } = judgeResult(result);
-    metrics.attempts.inc({ service, result: kind });
-    if (gone.aborted) return { upstream, result };
-    if (kind !== "misdirected" && kind !== "not_sent") {
-      upstream.failures.onResult(kind !== "deliver", now);
-    }
-    if (kind === "deliver" && expected.waitMs === 0) {
-      this.#learn(state, upstream, result, now - sentAt);
-    }
-    if (result.kind === "lost" && now >= deadlineAt) {
-      // It would have taken at least this long.
-      const ratio = (now - sentAt) / (expected.waitMs + expected.runMs);
-      if (ratio > 1) {
-        upstream.load.onTimed(ratio * upstream.load.slowness(now), now);
-      }
-    }
-    return { upstream, result };
-  }
-
-  #learn(
-    { route }: Call,
-    upstream: Upstream,
-    result: AttemptResult,
-    elapsedMs: number,
-  ): void {
-    const now = this.#opts.clock.now();
-    if (result.kind !== "answered" || upstream.warmUp.isCold(now)) return;
-    const usualMs = elapsedMs / (result.answer.load?.slowdown ?? 1);
-    const ratio = usualMs / this.#opts.work.mean(route);
-    this.#opts.work.onTimed(route, usualMs / upstream.load.slowness(now));
-    upstream.load.onTimed(ratio, now);
-  }
-
   #deliver(
     result: Extract<AttemptResult, { kind: "answered" }>,
   ): CallOutcome {
@@ -363,14 +276,14 @@
     };
   }
 
-  #late(state: Call): CallOutcome {
+  #late(state: CallState): CallOutcome {
     return state.mayHaveRun
       ? this.#fail(state, "deadline_exceeded", "no time is left")
       : this.#fail(state, "overloaded", "no time is left");
   }
 
   #refuse(
-    state: Call,
+    state: CallState,
     choice: Extract<Choice, { kind: "refuse" }>,
   ): CallOutcome {
     return this.#fail(state, choice.code, choice.reason, choice.retryAfterMs);
@@ -378,7 +291,7 @@
 
   /** Ends a request without a good answer of an upstream. */
   #fail(
-    state: Call,
+    state: CallState,
     wanted: RefusalCode,
     message: string,
     retryAfterMs?: number,
@@ -423,7 +336,7 @@
     };
   }
 
-  #report(state: Call, outcome: CallOutcome, ms: number): void {
+  #report(state: CallState, outcome: CallOutcome, ms: number): void {
     const { logger, metrics, view } = this.#opts;
     const { service, route, call, steps, sends } = state;
     const result = outcome.kind === "answered"
--- /dev/null
+++ b/src/direct/upstream_sender.ts
@@ -0,0 +1,105 @@
+import type { Clock } from "../base/clock.ts";
+import { attempt } from "./attempt.ts";
+import type { AttemptResult } from "./attempt_result.ts";
+import type { CallState } from "./call_state.ts";
+import { connectionLimit } from "./connection_limit.ts";
+import type { DirectMetrics } from "./direct_metrics.ts";
+import type { FleetView } from "./fleet_view.ts";
+import { judgeResult } from "./judge_result.ts";
+import type { Upstream } from "./upstream.ts";
+import type { WireProtocol } from "./wire_protocol.ts";
+import type { WorkTimes } from "./work_times.ts";
+
+type Options = {
+  view: FleetView;
+  work: WorkTimes;
+  protocol: WireProtocol;
+  clock: Clock;
+  metrics: DirectMetrics;
+};
+
+/** Sends requests to upstreams, and learns from what comes of them. */
+export class UpstreamSender {
+  readonly #opts: Options;
+
+  /**
+   * @param opts - beliefs, protocol and who is told
+   */
+  constructor(opts: Options) {
+    this.#opts = opts;
+  }
+
+  /**
+   * @param state - the request; what happens is added to it
+   * @param upstream - where it is sent
+   * @param gone - aborts when the caller leaves
+   * @returns what came of it
+   */
+  async send(
+    state: CallState,
+    upstream: Upstream,
+    gone: AbortSignal,
+  ): Promise<{ upstream: Upstream; result: AttemptResult }> {
+    const { clock, view, protocol, metrics } = this.#opts;
+    const { call, route, service, deadlineAt } = state;
+    const policy = view.policy(service);
+    state.tried.add(upstream);
+    state.sends++;
+    const sentAt = clock.now();
+    const workMs = this.#opts.work.mean(route);
+    const expected = upstream.load.expect(workMs, sentAt);
+    const expectedMs = Math.round(expected.waitMs + expected.runMs);
+    state.steps.push(
+      `to ${upstream.entry.id} after ${
+        Math.round(sentAt - call.receivedAt)
+      } ms:` +
+        ` ${expectedMs} ms expected, ${upstream.load.describe(sentAt)}`,
+    );
+    const result = await attempt({
+      call,
+      upstream,
+      idempotent: route.idempotent,
+      protocol,
+      clock,
+      deadlineAt,
+      maxConnections: connectionLimit(
+        policy ?? { maxConnections: 0 },
+        view.vms,
+      ),
+      // A request that may run only once goes on when its caller has left:
+      // cutting it would leave open whether it has run.
+    }, route.idempotent ? gone : new AbortController().signal);
+    const now = clock.now();
+    const { kind } = judgeResult(result);
+    metrics.attempts.inc({ service, result: kind });
+    if (gone.aborted) return { upstream, result };
+    if (kind !== "misdirected" && kind !== "not_sent") {
+      upstream.failures.onResult(kind !== "deliver", now);
+    }
+    if (kind === "deliver" && expected.waitMs === 0) {
+      this.#learn(state, upstream, result, now - sentAt);
+    }
+    if (result.kind === "lost" && now >= deadlineAt) {
+      // It would have taken at least this long.
+      const ratio = (now - sentAt) / (expected.waitMs + expected.runMs);
+      if (ratio > 1) {
+        upstream.load.onTimed(ratio * upstream.load.slowness(now), now);
+      }
+    }
+    return { upstream, result };
+  }
+
+  #learn(
+    { route }: CallState,
+    upstream: Upstream,
+    result: AttemptResult,
+    elapsedMs: number,
+  ): void {
+    const now = this.#opts.clock.now();
+    if (result.kind !== "answered" || upstream.warmUp.isCold(now)) return;
+    const usualMs = elapsedMs / (result.answer.load?.slowdown ?? 1);
+    const ratio = usualMs / this.#opts.work.mean(route);
+    this.#opts.work.onTimed(route, usualMs / upstream.load.slowness(now));
+    upstream.load.onTimed(ratio, now);
+  }
+}
