fix(base): write the rest of the log when its reader is slow for a moment

Cause: on EAGAIN the lines at hand were lost and not counted (found by reading). Change: they are tried again after 10 ms; meanwhile new lines wait within their bound. The cases of the direct router are rows of a table.

--- a/src/base/bounded_log_stream.ts
+++ b/src/base/bounded_log_stream.ts
@@ -9,11 +9,23 @@
   maxLinesPerS: number;
   /** @param count - lines that were left out since the last call */
   onDropped: (count: number) => void;
+  /** Replaces `write` of `node:fs`. */
+  write?: Write;
 };
+type Write = (
+  fd: number,
+  text: Buffer,
+  from: number,
+  length: number,
+  at: null,
+  done: (err: NodeJS.ErrnoException | null, written: number) => void,
+) => void;
 
 /** Lines that a slow reader has not taken yet. */
 const MAX_PENDING_BYTES = 512 * 1024;
 const MS_PER_S = 1000;
+/** A reader whose pipe is full is tried again after this time. */
+const FULL_MS = 10;
 /** Lines of warnings and errors are left out only when the reader is slow. */
 const URGENT_LEVELS = /"level":[456]0/;
 
@@ -99,16 +111,28 @@
   }
 
   #writeAll(text: Buffer, from: number): void {
-    write(this.#opts.fd, text, from, text.length - from, null, (err, done) => {
-      // Nobody can be told of a log that cannot be written; what is lost is
-      // counted in the line after the next second.
-      if (err !== null && err.code !== "EAGAIN") this.#dropped++;
-      else if (err === null && from + done < text.length) {
-        this.#writeAll(text, from + done);
-        return;
-      }
-      if (this.#pending.length > 0) setImmediate(() => this.#flush());
-      else this.#writing = false;
-    });
+    const writeTo = this.#opts.write ?? write;
+    writeTo(
+      this.#opts.fd,
+      text,
+      from,
+      text.length - from,
+      null,
+      (err, done) => {
+        if (err?.code === "EAGAIN") {
+          setTimeout(() => this.#writeAll(text, from), FULL_MS);
+          return;
+        }
+        // Nobody can be told of a log that cannot be written; what is lost is
+        // counted in the line after the next second.
+        if (err !== null) this.#dropped++;
+        else if (from + done < text.length) {
+          this.#writeAll(text, from + done);
+          return;
+        }
+        if (this.#pending.length > 0) setImmediate(() => this.#flush());
+        else this.#writing = false;
+      },
+    );
   }
 }
--- a/tests/base/bounded_log_stream_test.ts
+++ b/tests/base/bounded_log_stream_test.ts
@@ -55,6 +55,36 @@
     assert.match(lines[10] ?? "", /"dropped":90/);
   });
 
+  // Guards: a reader that is slow for a moment makes lines vanish uncounted.
+  it("writes the rest when the reader takes only a part", async () => {
+    const taken: string[] = [];
+    let calls = 0;
+    const stream = new BoundedLogStream({
+      clock: new ManualClock(),
+      fd: -1,
+      maxLinesPerS: 100,
+      onDropped: () => undefined,
+      write: (_fd, text, from, length, _at, done) => {
+        calls++;
+        if (calls % 3 === 1) {
+          const err: NodeJS.ErrnoException = new Error("full");
+          err.code = "EAGAIN";
+          setImmediate(() => done(err, 0));
+          return;
+        }
+        const part = Math.min(length, 5);
+        taken.push(text.subarray(from, from + part).toString());
+        setImmediate(() => done(null, part));
+      },
+    });
+    for (let n = 0; n < 4; n++) stream.write(`{"n":${n}}\n`);
+    await stream.flushed();
+    assert.equal(
+      taken.join(""),
+      [0, 1, 2, 3].map((n) => `{"n":${n}}\n`).join(""),
+    );
+  });
+
   it("keeps warnings when it leaves out other lines", async () => {
     const { lines } = await written((stream) => {
       for (let n = 0; n < 50; n++) stream.write('{"level":30}\n');
--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -125,80 +125,30 @@
 }
 
 describe("DirectRouter", () => {
-  // What each upstream does, in the order in which they are asked; what the
-  // caller gets; how often each upstream was asked.
-  const cases: {
-    idempotent: boolean;
-    behaviours: Behaviour[];
-    expected: string | number;
-    runs: number[];
-  }[] = [
-    { idempotent: false, behaviours: ["well"], expected: 200, runs: [1] },
+  // Whether the request may run twice; what each upstream does, in the order in
+  // which they are asked; what the caller gets; how often each was asked.
+  const cases: [boolean, Behaviour[], string | number, number[]][] = [
+    [false, ["well"], 200, [1]],
     // A request that says it has not run may go to another upstream.
-    {
-      idempotent: false,
-      behaviours: ["shed", "well"],
-      expected: 200,
-      runs: [1, 1],
-    },
-    {
-      idempotent: false,
-      behaviours: ["misdirect", "well"],
-      expected: 200,
-      runs: [1, 1],
-    },
-    // Guards TWICE: whatever may have run is not sent again.
-    {
-      idempotent: false,
-      behaviours: ["lose", "well"],
-      expected: "upstream_failed, outcome_unknown",
-      runs: [1, 0],
-    },
-    {
-      idempotent: false,
-      behaviours: ["silent", "well"],
-      expected: "deadline_exceeded, outcome_unknown",
-      runs: [1, 0],
-    },
-    {
-      idempotent: false,
-      behaviours: ["fail", "well"],
-      expected: 500,
-      runs: [1, 0],
-    },
-    {
-      idempotent: true,
-      behaviours: ["lose", "well"],
-      expected: 200,
-      runs: [1, 1],
-    },
-    {
-      idempotent: true,
-      behaviours: ["fail", "well"],
-      expected: 200,
-      runs: [1, 1],
-    },
+    [false, ["shed", "well"], 200, [1, 1]],
+    [false, ["misdirect", "well"], 200, [1, 1]],
+    // Guards: whatever may have run is sent again.
+    [false, ["lose", "well"], "upstream_failed, outcome_unknown", [1, 0]],
+    [false, ["silent", "well"], "deadline_exceeded, outcome_unknown", [1, 0]],
+    [false, ["fail", "well"], 500, [1, 0]],
+    [true, ["lose", "well"], 200, [1, 1]],
+    [true, ["fail", "well"], 200, [1, 1]],
     // A second upstream is asked when the first takes far too long.
-    {
-      idempotent: true,
-      behaviours: ["silent", "well"],
-      expected: 200,
-      runs: [1, 1],
-    },
-    { idempotent: true, behaviours: ["fail"], expected: 500, runs: [1] },
-    {
-      idempotent: true,
-      behaviours: ["shed", "shed", "shed"],
-      expected: "overloaded, not_run",
-      runs: [1, 1, 1],
-    },
+    [true, ["silent", "well"], 200, [1, 1]],
+    [true, ["fail"], 500, [1]],
+    [true, ["shed", "shed", "shed"], "overloaded, not_run", [1, 1, 1]],
   ];
-  for (const { idempotent, behaviours, expected, runs } of cases) {
+  for (const [idempotent, behaviours, expected, runs] of cases) {
     const kind = idempotent ? "idempotent" : "non-idempotent";
     it(`${kind}, ${behaviours.join(", ")}: ${expected}`, async () => {
       const served = await serve(behaviours, { idempotent });
       assert.equal(summary(served.outcome), expected);
-      if (behaviours.length < 3) assert.deepEqual(served.runs, runs);
+      assert.deepEqual(served.runs, runs);
     });
   }
 
