--- a/dev/bench/churn.ts
+++ b/dev/bench/churn.ts
@@ -4,6 +4,7 @@
 import { WarmUpTracker } from "../../src/shards/warm_up_tracker.ts";
 import type { Bench } from "./bench.ts";
 import type { BenchReport } from "./bench_report.ts";
+import { emptyReport } from "./empty_report.ts";
 import { HashRing } from "./hash_ring.ts";
 import { pushFigures } from "./push_figures.ts";
 
@@ -157,19 +158,16 @@
   name: "churn",
   summary: "shards moved on loss, return and growth of upstreams",
   run({ seed, repetitions }) {
-    const report: BenchReport = {
+    const report = emptyReport({
       name: "churn",
       seed,
-      arms: {},
-      bounds: [],
-      violations: {},
       notes: [
         `${SHARDS} shards; ${ROUNDS} losses and returns, one growth a run`,
         "planShards and WarmUpTracker on a moved clock; no processes",
         "hashing: shards on a ring; its least number is that of a balanced " +
         "assignment, so that it can move fewer",
       ],
-    };
+    });
     for (let index = 0; index < repetitions; index += 1) {
       for (const size of SIZES) {
         for (
--- a/dev/bench/control.ts
+++ b/dev/bench/control.ts
@@ -1,5 +1,6 @@
 import type { Bench } from "./bench.ts";
 import type { BenchReport } from "./bench_report.ts";
+import { emptyReport } from "./empty_report.ts";
 import { leastSquares } from "./least_squares.ts";
 import { measureCoordinator } from "./measure_coordinator.ts";
 import { measureFollower } from "./measure_follower.ts";
@@ -80,18 +81,15 @@
   name: "control",
   summary: "cost of control by number of routers, services, entries, pins",
   async run({ seed, repetitions }) {
-    const report: BenchReport = {
+    const report = emptyReport({
       name: "control",
       seed,
-      arms: {},
-      bounds: [],
-      violations: {},
       notes: [
         "processor time depends on what else the machine does",
         "coordinator: one process without a network; transport is separate",
         `base size ${JSON.stringify(BASE)}`,
       ],
-    };
+    });
     // The first runs are slower, because nothing is compiled yet.
     measureTerm(new SyntheticRegion(BASE));
     await measureFollower(new SyntheticRegion(BASE), REGIONS);
--- a/dev/bench/domain.ts
+++ b/dev/bench/domain.ts
@@ -4,7 +4,7 @@
 import { PRESETS } from "../deployment/presets.ts";
 import { addCounts } from "./add_counts.ts";
 import type { Bench } from "./bench.ts";
-import type { BenchReport } from "./bench_report.ts";
+import { emptyReport } from "./empty_report.ts";
 import { countCodes } from "./count_codes.ts";
 import { LoadGenerator } from "./load_generator.ts";
 import { pushFigures } from "./push_figures.ts";
@@ -88,14 +88,11 @@
   name: "domain",
   summary: "new work, errors and cold load while a failure domain is out",
   async run({ seed, repetitions }) {
-    const report: BenchReport = {
+    const report = emptyReport({
       name: "domain",
       seed,
-      arms: {},
-      bounds: [],
-      violations: {},
       notes: [],
-    };
+    });
     const codesOfAll: Record<string, number> = {};
     for (let repetition = 0; repetition < repetitions; repetition += 1) {
       const { figures, violations, codes } = await runOnce(seed + repetition);
--- a/dev/bench/imbalance.ts
+++ b/dev/bench/imbalance.ts
@@ -7,7 +7,7 @@
 import { HotKeySketch } from "../../src/upstreams/hot_key_sketch.ts";
 import { RateMeter } from "../../src/upstreams/rate_meter.ts";
 import type { Bench } from "./bench.ts";
-import type { BenchReport } from "./bench_report.ts";
+import { emptyReport } from "./empty_report.ts";
 import { HashRing } from "./hash_ring.ts";
 import { median } from "./median.ts";
 import { pushFigures } from "./push_figures.ts";
@@ -221,12 +221,9 @@
   name: "imbalance",
   summary: "maximum over mean load, uniform and Zipf keys that change",
   run({ seed, repetitions }) {
-    const report: BenchReport = {
+    const report = emptyReport({
       name: "imbalance",
       seed,
-      arms: {},
-      bounds: [],
-      violations: {},
       notes: [
         `${KEYS} keys, ${UPSTREAMS} upstreams, ${SHARDS} shards, ` +
         `${RATE_PER_S} requests/s, windows of ${WINDOW_MS / 1000} s`,
@@ -234,7 +231,7 @@
         "ranks go to other keys",
         "decision modules on a moved clock; moves take effect at once",
       ],
-    };
+    });
     for (let index = 0; index < repetitions; index += 1) {
       for (const arm of ARMS) {
         for (
--- a/dev/bench/limits.ts
+++ b/dev/bench/limits.ts
@@ -5,7 +5,7 @@
 import type { RenewParams } from "../../src/regions/renew_params.ts";
 import { ManualClock } from "../../tests/support/manual_clock.ts";
 import type { Bench } from "./bench.ts";
-import type { BenchReport } from "./bench_report.ts";
+import { emptyReport } from "./empty_report.ts";
 import { pushFigures } from "./push_figures.ts";
 
 const ENTRY = "usage";
@@ -216,12 +216,9 @@
   async run({ seed, repetitions }) {
     // Every share may hold a burst, at least one token.
     const burst = RATE_PER_S * BURST_MS / 1000 + ROUTERS;
-    const report: BenchReport = {
+    const report = emptyReport({
       name: "limits",
       seed,
-      arms: {},
-      bounds: [],
-      violations: {},
       notes: [
         `${ROUTERS} routers, ${RATE_PER_S} requests/s allowed, ` +
         `${RUN_MS / 1000} s; every ${EVENT_MS / 1000} s a router dies, is ` +
@@ -230,7 +227,7 @@
         `shares allow ${burst}`,
         "ShareHolder and ShareLedger on a moved clock; no processes",
       ],
-    };
+    });
     for (let index = 0; index < repetitions; index += 1) {
       for (const arm of ["ours", "equal fixed shares"] as const) {
         for (const load of LOADS) {
--- a/dev/bench/loss.ts
+++ b/dev/bench/loss.ts
@@ -5,7 +5,7 @@
 import { PRESETS } from "../deployment/presets.ts";
 import { addCounts } from "./add_counts.ts";
 import type { Bench } from "./bench.ts";
-import type { BenchReport } from "./bench_report.ts";
+import { emptyReport } from "./empty_report.ts";
 import { countCodes } from "./count_codes.ts";
 import { LoadGenerator } from "./load_generator.ts";
 import { pushFigures } from "./push_figures.ts";
@@ -117,14 +117,11 @@
   name: "loss",
   summary: "unavailable time of keys after the loss of a part",
   async run({ seed, repetitions }) {
-    const report: BenchReport = {
+    const report = emptyReport({
       name: "loss",
       seed,
-      arms: {},
-      bounds: [],
-      violations: {},
       notes: ["no link delay is added between the processes"],
-    };
+    });
     const codesOfLoss: Record<string, Record<string, number>> = {};
     for (let repetition = 0; repetition < repetitions; repetition += 1) {
       for (const loss of LOSSES) {
--- a/dev/bench/store_outage.ts
+++ b/dev/bench/store_outage.ts
@@ -4,7 +4,7 @@
 import { PRESETS } from "../deployment/presets.ts";
 import { addCounts } from "./add_counts.ts";
 import type { Bench } from "./bench.ts";
-import type { BenchReport } from "./bench_report.ts";
+import { emptyReport } from "./empty_report.ts";
 import type { CallResult } from "./call_result.ts";
 import { LoadGenerator } from "./load_generator.ts";
 import { pushFigures } from "./push_figures.ts";
@@ -156,18 +156,15 @@
   name: "store-outage",
   summary: "service of owned keys through an outage of the table service",
   async run({ seed, repetitions }) {
-    const report: BenchReport = {
+    const report = emptyReport({
       name: "store-outage",
       seed,
-      arms: {},
-      bounds: [],
-      violations: {},
       notes: [
         "no link delay is added between the processes",
         `outage of ${OUTAGE_MS} ms, an upstream is lost after ` +
         `${LOSS_AFTER_MS} ms`,
       ],
-    };
+    });
     for (let repetition = 0; repetition < repetitions; repetition += 1) {
       for (const arm of ARMS) {
         const run = await runOnce(arm, seed + repetition);
--- a/dev/bench/stragglers.ts
+++ b/dev/bench/stragglers.ts
@@ -6,6 +6,7 @@
 import { BaselineRouter } from "./baseline_router.ts";
 import type { Bench } from "./bench.ts";
 import type { BenchReport } from "./bench_report.ts";
+import { emptyReport } from "./empty_report.ts";
 import type { CallResult } from "./call_result.ts";
 import { LoadGenerator } from "./load_generator.ts";
 import { percentile } from "./percentile.ts";
@@ -145,17 +146,14 @@
   name: "stragglers",
   summary: "tail latency with 0, 1 and 3 upstreams slowed 10 times",
   async run({ seed, repetitions }) {
-    const report: BenchReport = {
+    const report = emptyReport({
       name: "stragglers",
       seed,
-      arms: {},
-      bounds: [],
-      violations: {},
       notes: [
         `${RATE_PER_S} requests/s on 12 upstreams, 4 routers; the baseline ` +
         "runs in the load generator's process",
       ],
-    };
+    });
     for (let repetition = 0; repetition < repetitions; repetition += 1) {
       await runOnce(report, seed + repetition);
     }
--- a/dev/bench/throughput.ts
+++ b/dev/bench/throughput.ts
@@ -4,6 +4,7 @@
 import { addCounts } from "./add_counts.ts";
 import type { Bench } from "./bench.ts";
 import type { BenchReport } from "./bench_report.ts";
+import { emptyReport } from "./empty_report.ts";
 import { cpuSeconds } from "./cpu_seconds.ts";
 import { LoadGenerator } from "./load_generator.ts";
 import { percentile } from "./percentile.ts";
@@ -83,17 +84,14 @@
   name: "throughput",
   summary: "requests/s for each core of the routers and added latency",
   async run({ seed, repetitions }) {
-    const report: BenchReport = {
+    const report = emptyReport({
       name: "throughput",
       seed,
-      arms: {},
-      bounds: [],
-      violations: {},
       notes: [
         "a core is a second of processor time of the router processes; a " +
         "request that hops counts the time of both routers",
       ],
-    };
+    });
     for (let repetition = 0; repetition < repetitions; repetition += 1) {
       await runOnce(report, seed + repetition);
     }
