fix(deployment): give each process its own block of ports

A loop of 24 runs of graceful_stop_test, six at a time, failed the same way once, and the logs that a failed start now shows say why: "listen.callers: found 127.0.0.1:32508, which is in use". Test files run beside each other; freePorts drew ports at random, let them go, and another file drew the same one before the router listened.

Change: ports come in blocks, each locked by a listener of the process that gives them out. A start that fails stops what it started and shows the end of each log, so a file no longer waits for its timeout.

OverloadGuard logs when it begins and ends to refuse, and its bound is a setting. graceful_stop_test had failed with `overloaded`, which only this guard says: timers that are late on a busy computer, not the stop.

lost_parts_test waited for ever if no request was in flight at the moment of the pause; it now lets the router go on and pauses it again.

--- a/dev/deployment/deployment.ts
+++ b/dev/deployment/deployment.ts
@@ -1,5 +1,11 @@
 import { createHash, randomBytes } from "node:crypto";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import {
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
@@ -14,6 +20,8 @@
 import { waitUntil } from "./wait_until.ts";
 
 const START_TIMEOUT_MS = 30_000;
+/** What the error of a failed start shows of each log. */
+const LOG_END_CHARS = 3_000;
 const DOMAIN_LETTERS = ["a", "b", "c", "d"];
 const PORTS_PER_ROUTER = 3;
 
@@ -86,14 +94,33 @@
    */
   static async start(options: Options): Promise<Deployment> {
     const deployment = new Deployment(options);
-    await deployment.#startPlatform();
-    await deployment.#startUpstreams();
-    await deployment.#startRouters();
-    await deployment.applyCatalogue(
-      options.catalogue ?? catalogueFor(options.preset),
+    try {
+      await deployment.#startAll();
+      return deployment;
+    } catch (err) {
+      const logs = deployment.#endOfLogs();
+      await deployment.stop();
+      throw new Error(`the deployment did not start\n${logs}`, { cause: err });
+    }
+  }
+
+  async #startAll(): Promise<void> {
+    await this.#startPlatform();
+    await this.#startUpstreams();
+    await this.#startRouters();
+    await this.applyCatalogue(
+      this.options.catalogue ?? catalogueFor(this.options.preset),
     );
-    await deployment.routersReady();
-    return deployment;
+    await this.routersReady();
+  }
+
+  /** The last lines of each log, to explain a start that failed. */
+  #endOfLogs(): string {
+    return readdirSync(this.dir).filter((file) => file.endsWith(".log"))
+      .map((file) => {
+        const text = readFileSync(join(this.dir, file), "utf8");
+        return `--- ${file}\n${text.slice(-LOG_END_CHARS)}`;
+      }).join("\n");
   }
 
   /** Waits until every router is ready. */
--- a/dev/deployment/free_ports.ts
+++ b/dev/deployment/free_ports.ts
@@ -4,6 +4,11 @@
 const RANGE_FILE = "/proc/sys/net/ipv4/ip_local_port_range";
 const DEFAULT_RANGE_START = 32_768;
 const PORTS_BELOW = 20_000;
+/** The first port of a block is its lock, the others are given out. */
+const BLOCK_PORTS = 50;
+
+/** Ports of this process's blocks that have not been given out yet. */
+const unused: number[] = [];
 
 function rangeStart(): number {
   try {
@@ -21,31 +26,44 @@
   });
 }
 
+/** Takes a block for as long as this process lives. */
+async function takeBlock(): Promise<void> {
+  const blocks = Math.floor(PORTS_BELOW / BLOCK_PORTS);
+  for (;;) {
+    const block = Math.floor(Math.random() * blocks);
+    const first = rangeStart() - PORTS_BELOW + block * BLOCK_PORTS;
+    const lock = await listen(first);
+    if (lock === undefined) continue;
+    lock.unref();
+    for (let port = first + 1; port < first + BLOCK_PORTS; port += 1) {
+      unused.push(port);
+    }
+    return;
+  }
+}
+
+async function isFree(port: number): Promise<boolean> {
+  const server = await listen(port);
+  if (server === undefined) return false;
+  await new Promise((resolve) => server.close(resolve));
+  return true;
+}
+
 /**
  * Finds ports for processes that must know their ports before they start. They
  * lie below the range from which the system takes ports of outgoing
- * connections: a port that the system chose was taken by such a connection
- * before the router listened on it.
+ * connections, and in blocks that each belong to one process: a port that is
+ * free now is taken by nobody else before its user listens on it.
  *
  * @param count - how many ports are needed
- * @returns that many loopback ports that were free a moment ago
+ * @returns that many free loopback ports, each given out only once
  */
 export async function freePorts(count: number): Promise<number[]> {
-  const end = rangeStart();
   const ports: number[] = [];
-  const servers: Server[] = [];
   while (ports.length < count) {
-    const port = end - 1 - Math.floor(Math.random() * PORTS_BELOW);
-    // All are held open together, so that no port is given twice.
-    const server = await listen(port);
-    if (server === undefined) continue;
-    ports.push(port);
-    servers.push(server);
+    const port = unused.shift();
+    if (port === undefined) await takeBlock();
+    else if (await isFree(port)) ports.push(port);
   }
-  await Promise.all(servers.map((server) =>
-    new Promise((resolve) => {
-      server.close(resolve);
-    })
-  ));
   return ports;
 }
--- a/src/daemon/data_plane.ts
+++ b/src/daemon/data_plane.ts
@@ -109,7 +109,11 @@
       clock,
       watch: new ExpiryWatch(clock, signal),
       contact: parts.contact,
-      load: new OverloadGuard(clock, signal),
+      load: new OverloadGuard({
+        clock,
+        logger: context.logger,
+        maxTimerDelayMs: cfg.requests.maxTimerDelayMs,
+      }, signal),
       catalogue: {
         region: self.region,
         match: (host, path) => index.match(host, path),
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -64,6 +64,8 @@
     held: z.int().nonnegative().default(1000),
     /** Longest wait for a new assignment. */
     holdMs: Ms.default(5000),
+    /** Timers later than this, five in a row, mean that requests are refused. */
+    maxTimerDelayMs: Ms.default(60),
   }).prefault({}),
   timing: z.strictObject({
     storePollMs: Ms.default(500),
--- a/tests/daemon/lost_parts_test.ts
+++ b/tests/daemon/lost_parts_test.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { test } from "node:test";
 import { countViolations } from "../../dev/bench/violations.ts";
+import { control } from "../../dev/deployment/control.ts";
 import { Deployment } from "../../dev/deployment/deployment.ts";
 import type { Preset } from "../../dev/deployment/preset.ts";
 import { waitUntil } from "../../dev/deployment/wait_until.ts";
@@ -48,13 +49,23 @@
   const [busy, vm] = Object.entries(await readTenures(platformUrl))[0] ?? [];
   const router = routers.find((one) => one.vm === vm);
   assert.ok(router !== undefined && busy !== undefined);
-  router.process.signal("SIGSTOP");
-  const before = effectsOf(busy).length;
-  let seen = before;
-  await waitUntil("effects without answers", TIMEOUT_MS, () => {
-    const last = seen;
-    seen = effectsOf(busy).length;
-    return Promise.resolve(seen > before && seen === last);
+  const upstream = upstreams.find(({ id }) => id === busy);
+  await waitUntil("effects without answers", TIMEOUT_MS, async () => {
+    router.process.signal("SIGSTOP");
+    const before = effectsOf(busy).length;
+    // Nothing new arrives: the paused router is the only one that sends to it.
+    await waitUntil("end of the upstream's work", TIMEOUT_MS, async () => {
+      const { load } = await control(
+        `http://${upstream?.address}/load`,
+      ) as { load: number };
+      return load === 0;
+    });
+    if (effectsOf(busy).length > before) return true;
+    // All requests in flight had ended before the pause was in effect.
+    router.process.signal("SIGCONT");
+    const answered = callers.results.length;
+    await waitUntil("more answers", TIMEOUT_MS, someOf(answered + 100));
+    return false;
   });
   router.process.signal("SIGKILL");
   callers.urls.delete(router.callersUrl);
