perf(ranges): compress the rows of key owners

Cause: with 82 upstreams a row holds hundreds of ranges at 110 bytes each. At about 450 ranges it would exceed the store's limit on a row (65,536 bytes) and the keeper could not write any more.

Test: "the owners of 600 upstreams fit into a row" failed before.

Rows without compression are still read.

--- a/src/ranges/encode_range_document.ts
+++ b/src/ranges/encode_range_document.ts
@@ -1,9 +1,12 @@
+import { deflateRawSync } from "node:zlib";
 import type { RangeDocument } from "./range_document.ts";
 
 /**
+ * Every VM gets each version of the row, and bytes between regions are billed.
+ *
  * @param document - owners of a service's keys
- * @returns contents of its row
+ * @returns contents of its row: compressed JSON
  */
 export function encodeRangeDocument(document: RangeDocument): Uint8Array {
-  return Buffer.from(JSON.stringify(document));
+  return deflateRawSync(JSON.stringify(document));
 }
--- a/src/ranges/read_range_table.ts
+++ b/src/ranges/read_range_table.ts
@@ -1,8 +1,21 @@
+import { inflateRawSync } from "node:zlib";
 import type { Logger } from "../base/logger.ts";
 import type { Row } from "../rows/row.ts";
 import { RangeDocument } from "./range_document.ts";
 import { RangeTable } from "./range_table.ts";
 
+/** First byte of a row that was written without compression. */
+const PLAIN_JSON_START = "{".charCodeAt(0);
+/** Larger rows are not of this program; the store holds 64 KiB a row. */
+const MAX_JSON_BYTES = 4 * 1024 * 1024;
+
+function textOf(value: Uint8Array): string {
+  const plain = value[0] === PLAIN_JSON_START
+    ? value
+    : inflateRawSync(value, { maxOutputLength: MAX_JSON_BYTES });
+  return Buffer.from(plain).toString("utf8");
+}
+
 /**
  * @param row - row of one service
  * @param logger - told of a row that cannot be read
@@ -14,9 +27,9 @@
 ): RangeTable | undefined {
   let value: unknown;
   try {
-    value = JSON.parse(Buffer.from(row.value).toString("utf8"));
+    value = JSON.parse(textOf(row.value));
   } catch (err) {
-    logger.error({ err, key: row.key }, "row of key owners is not JSON");
+    logger.error({ err, key: row.key }, "row of key owners cannot be decoded");
     return undefined;
   }
   const document = RangeDocument.safeParse(value);
