perf(rows): one VM of each region follows the store for the others

Cause: each VM has a feed of each table, so a change costs a call of every VM.

It tells only what its own feed has confirmed in the last 1.6 s; a VM that is not told calls the store itself, as before. A VM that the store refuses now gets news.

Reports to the keeper become less frequent with the number of VMs (350 ms up to 35 VMs, 900 ms at 90).

--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -11,6 +11,7 @@
 import { readRangeTable } from "../ranges/read_range_table.ts";
 import type { RowStore } from "../rows/row_store.ts";
 import { TableFollower } from "../rows/table_follower.ts";
+import { TableRelay } from "../rows/table_relay.ts";
 import { HttpPeerClient } from "../vms/http_peer_client.ts";
 import { DirectListener } from "./direct_listener.ts";
 import type { DirectMetrics } from "./direct_metrics.ts";
@@ -49,8 +50,13 @@
  * which is what keeps changes in force within 2.5 s when a connection dies.
  */
 const FEED_WAIT_MS = 3000;
+/** Others rely on a VM that tells them what the feed brings. */
+const FEED_WAIT_TELLER_MS = 1000;
 /** Calls to the store are billed; a tenth of the time for changes (2.5 s). */
 const GATHER_MS = 250;
+/** Each VM adds a call for each change that no peer tells. */
+const GATHER_PER_VM_MS = 10;
+const MAX_GATHER_MS = 1000;
 /** Callers wait for keys that move. */
 const GATHER_OWNERS_MS = 80;
 /** Number of VMs until the keeper has counted them. */
@@ -80,6 +86,7 @@
   readonly #operators: TableFollower;
   readonly #registry: TableFollower;
   readonly #ranges: TableFollower;
+  readonly #relay: TableRelay;
   readonly #lease: KeeperLease;
   readonly #keeper: RangeKeeper;
   readonly #callers: DirectListener;
@@ -106,18 +113,37 @@
     });
     this.#view = view;
     const sources = opts.sources(view);
-    this.#operators = this.#follow(sources.operators, GATHER_MS);
+    const gatherMs = () =>
+      this.#relay.telling ? GATHER_MS : Math.min(
+        MAX_GATHER_MS,
+        Math.max(GATHER_MS, GATHER_PER_VM_MS * view.vms),
+      );
+    this.#operators = this.#follow(sources.operators, gatherMs);
     this.#registry = this.#follow(
       sources.registry,
-      GATHER_MS,
+      gatherMs,
       () => view.onRegistryRegained(),
     );
-    this.#ranges = this.#follow(this.#rangeSource(), GATHER_OWNERS_MS);
-    const self = { vm: cfg.vm, incarnation: randomUUID() };
+    this.#ranges = this.#follow(this.#rangeSource(), () => GATHER_OWNERS_MS);
+    const peers = new HttpPeerClient({
+      credential: opts.peerCredential,
+      clock,
+      signal: this.#end.signal,
+    });
+    const peerUrl = `http://${cfg.listen.peers}`;
+    this.#relay = new TableRelay({
+      followers: [this.#operators, this.#registry, this.#ranges],
+      selfUrl: peerUrl,
+      peers,
+      clock,
+      logger,
+      signal: this.#end.signal,
+    });
+    const self = { vm: cfg.vm, incarnation: randomUUID(), peerUrl };
     this.#lease = new KeeperLease({
       store,
       table: KEEPER_TABLE,
-      self: { ...self, peerUrl: `http://${cfg.listen.peers}` },
+      self,
       clock,
       logger,
       signal: this.#end.signal,
@@ -126,15 +152,12 @@
     this.#keeper = new RangeKeeper({
       store,
       table: RANGES_TABLE,
-      self,
+      self: { ...self, region: cfg.region },
       view,
       lease: this.#lease,
       grants: opts.grants(this.#end.signal),
-      peers: new HttpPeerClient({
-        credential: opts.peerCredential,
-        clock,
-        signal: this.#end.signal,
-      }),
+      relay: this.#relay,
+      peers,
       workMs: (service) => work.meanOfService(service, view.config),
       clock,
       logger,
@@ -160,6 +183,7 @@
         metrics,
         place: cfg,
         onKey: (service, key) => this.#keeper.onKey(service, key),
+        onOwnersDoubted: () => this.#relay.refresh(),
       }),
       protocol,
       maxBodyBytes: () =>
@@ -167,7 +191,7 @@
       readinessDelayMs: READINESS_DELAY_MS,
     });
     const rpc = rpcServer({
-      handlers: this.#keeper.handlers,
+      handlers: [...this.#keeper.handlers, this.#relay.handler],
       credential: opts.peerCredential,
       logger,
       signal: this.#end.signal,
@@ -212,6 +236,7 @@
       this.#ranges.run(signal),
       this.#lease.run(),
       this.#keeper.run(),
+      this.#relay.run(),
       this.#sweep(),
     ]);
     if (!stop.aborted) {
@@ -293,7 +318,7 @@
 
   #follow(
     source: RowSource,
-    gatherMs: number,
+    gatherMs: () => number,
     onRegained?: () => void,
   ): TableFollower {
     const { store, clock, logger } = this.#opts;
@@ -302,7 +327,7 @@
       store,
       clock,
       logger,
-      waitMs: FEED_WAIT_MS,
+      waitMs: () => this.#relay.telling ? FEED_WAIT_TELLER_MS : FEED_WAIT_MS,
       gatherMs,
       ...(onRegained === undefined ? {} : { onRegained }),
     });
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -29,6 +29,8 @@
   place: { failureDomain: string; region: string };
   /** @param key - number of the key of a request for the service */
   onKey: (service: string, key: number) => void;
+  /** The owner of a request's key has changed, or cannot serve it. */
+  onOwnersDoubted: () => void;
 };
 
 /** Connections that fail are cheap to replace, but not for ever. */
@@ -129,6 +131,7 @@
       if (isGone()) return { kind: "gone" };
       if (clock.now() >= state.deadlineAt) return this.#late(state);
       const choice = this.#choose(state);
+      if (state.keyed && isOwnerDoubted(choice)) this.#opts.onOwnersDoubted();
       switch (choice.kind) {
         case "refuse":
           return this.#refuse(state, choice);
@@ -165,6 +168,7 @@
             return this.#fail(state, "not_owner", verdict.text);
           }
           if (state.keyed) {
+            this.#opts.onOwnersDoubted();
             state.tried.delete(upstream);
             await this.#waited(state, MISDIRECTED_WAIT_MS, gone);
           }
@@ -361,3 +365,9 @@
     }, "request ended");
   }
 }
+
+/** Whether newer owners of keys could change the choice. */
+function isOwnerDoubted(choice: Choice): boolean {
+  return choice.kind === "wait" ||
+    (choice.kind === "refuse" && choice.code === "upstream_unavailable");
+}
--- a/src/ranges/key_report.ts
+++ b/src/ranges/key_report.ts
@@ -13,11 +13,18 @@
     ),
     /** Usual time of work at upstreams with keys, relative to the mean. */
     speeds: z.record(z.string(), z.number()),
+    /** Where the VM is, and its peer URL; it may tell others of its region. */
+    region: z.string().optional(),
+    peerUrl: z.string().optional(),
   }),
   result: z.object({
     /** Whether the called VM is the keeper. */
     keeper: z.boolean(),
     /** VMs that have reported lately, the keeper included. */
     vms: z.number().int(),
+    /** Time in milliseconds after which a busy VM reports again. */
+    intervalMs: z.number().positive().optional(),
+    /** Peer URL of the VM that follows the store for the reporter's region. */
+    tellerUrl: z.string().optional(),
   }),
 };
--- a/src/ranges/range_keeper.ts
+++ b/src/ranges/range_keeper.ts
@@ -1,27 +1,32 @@
 import { setMaxListeners } from "node:events";
+import type { z } from "zod";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
 import type { DirectMetrics } from "../direct/direct_metrics.ts";
 import type { FleetView } from "../direct/fleet_view.ts";
 import type { RpcHandler } from "../links/rpc_handler.ts";
 import type { RowStore } from "../rows/row_store.ts";
+import type { TableRelay } from "../rows/table_relay.ts";
 import type { PeerClient } from "../vms/peer_client.ts";
 import { waitForChange } from "../vms/wait_for_change.ts";
 import type { KeeperLease } from "./keeper_lease.ts";
 import { KeyLoad } from "./key_load.ts";
 import { KeyReport } from "./key_report.ts";
 import type { RangeGrants } from "./range_grants.ts";
+import { RegionTellers } from "./region_tellers.ts";
 import { YieldRequest } from "./yield_request.ts";
 import { ServiceRanges } from "./service_ranges.ts";
 
 type Options = {
   store: RowStore;
   table: string;
-  self: { vm: string; incarnation: string };
+  self: { vm: string; incarnation: string; region: string; peerUrl: string };
   view: FleetView;
   lease: KeeperLease;
   grants: RangeGrants;
   peers: PeerClient;
+  /** Told which VM follows the store for this one's region. */
+  relay: Pick<TableRelay, "setTeller">;
   /** @returns mean time of a service's work, in milliseconds */
   workMs: (service: string) => number;
   clock: Clock;
@@ -30,17 +35,27 @@
   holdMs: number;
   signal: AbortSignal;
 };
+type Report = z.infer<typeof KeyReport.params>;
+type ReportAnswer = z.infer<typeof KeyReport.result>;
 type Counts = Map<string, Map<number, number>>;
 
 const REPORT_MS = 700;
 /** Hot keys are to be seen early; a VM without requests reports less often. */
 const REPORT_BUSY_MS = 350;
+/**
+ * The keeper may be one of the smallest VMs; 100 reports a second take it some
+ * hundredths of a core.
+ */
+const REPORT_PER_VM_MS = 10;
+/** Changes are to be in force within 2.5 s. */
+const MAX_REPORT_MS = 1200;
 const REPORT_TIMEOUT_MS = 900;
 /** Smaller changes of an upstream's speed are not worth a message. */
 const TOLD_SPEED_PART = 0.2;
 const SUCCEED_MS = 250;
-/** A VM that has not reported for this long is not counted. */
+/** A VM that has not reported for this long, or so often, is not counted. */
 const REPORTER_MS = 2500;
+const REPORTER_REPORTS = 3;
 
 /**
  * Keeps the key ranges while this VM has the lease, and reports the rates of
@@ -56,7 +71,9 @@
   readonly #told = new Map<string, number>();
   /** Speeds of upstreams that VMs have told this one. */
   readonly #reported = new Map<string, number>();
-  readonly #reporters = new Map<string, number>();
+  readonly #tellers = new RegionTellers();
+  /** How often this VM reports while it has requests. */
+  #intervalMs = REPORT_BUSY_MS;
 
   /**
    * @param opts - lease, store, upstreams and peers
@@ -173,11 +190,12 @@
       const counts: Record<string, [number, number][]> = {};
       for (const [service, keys] of this.#counts) counts[service] = [...keys];
       this.#counts = new Map();
-      const report = { ...self, counts, speeds: this.#speeds() };
-      if (lease.held) this.#onReport(report);
+      const report: Report = { ...self, counts, speeds: this.#speeds() };
+      if (lease.held) this.#onAnswer(this.#onReport(report));
       else await this.#send(report);
+      const busy = Object.keys(counts).length > 0;
       await clock.sleep(
-        Object.keys(counts).length > 0 ? REPORT_BUSY_MS : REPORT_MS,
+        busy ? this.#intervalMs : Math.max(REPORT_MS, this.#intervalMs),
         signal,
       );
     }
@@ -201,12 +219,11 @@
     return speeds;
   }
 
-  async #send(
-    report: ReturnType<typeof KeyReport.params.parse>,
-  ): Promise<void> {
-    const { lease, peers, signal, view, logger } = this.#opts;
+  async #send(report: Report): Promise<void> {
+    const { lease, peers, signal, logger, relay } = this.#opts;
     const { keeperUrl } = lease;
     if (keeperUrl === undefined) {
+      relay.setTeller(undefined);
       lease.suspect();
       return;
     }
@@ -222,24 +239,34 @@
         keeperUrl,
         err: answer.isErr() ? answer.error : undefined,
       }, "report not taken");
+      relay.setTeller(undefined);
       lease.suspect();
       return;
     }
-    view.setVms(answer.value.vms);
+    this.#onAnswer(answer.value);
+  }
+
+  #onAnswer({ vms, intervalMs, tellerUrl }: ReportAnswer): void {
+    const { view, relay } = this.#opts;
+    view.setVms(vms);
+    this.#intervalMs = intervalMs ?? REPORT_BUSY_MS;
+    relay.setTeller(tellerUrl);
   }
 
-  #onReport(
-    report: ReturnType<typeof KeyReport.params.parse>,
-  ): ReturnType<typeof KeyReport.result.parse> {
+  #onReport(report: Report): ReportAnswer {
     const { lease, clock, view } = this.#opts;
     const now = clock.now();
     lease.onPeer(report.vm, report.incarnation);
     if (!lease.held) return { keeper: false, vms: view.vms };
     const keeper = lease.confirmed;
-    this.#reporters.set(report.vm, now);
-    for (const [vm, at] of this.#reporters) {
-      if (now - at > REPORTER_MS) this.#reporters.delete(vm);
-    }
+    const { vm, region, peerUrl } = report;
+    this.#tellers.onReport(
+      { vm, region: region ?? "", peerUrl: peerUrl ?? "" },
+      now,
+    );
+    this.#tellers.forget(
+      now - Math.max(REPORTER_MS, REPORTER_REPORTS * this.#intervalMs),
+    );
     for (const [service, counts] of Object.entries(report.counts)) {
       this.#load(service).add(counts, now);
     }
@@ -253,8 +280,19 @@
         before === undefined ? speed : (before + speed) / 2,
       );
     }
-    const vms = this.#reporters.size;
+    const vms = this.#tellers.count;
     view.setVms(vms);
-    return { keeper, vms };
+    this.#intervalMs = Math.min(
+      MAX_REPORT_MS,
+      Math.max(REPORT_BUSY_MS, REPORT_PER_VM_MS * vms),
+    );
+    return {
+      keeper,
+      vms,
+      intervalMs: this.#intervalMs,
+      tellerUrl: region === undefined
+        ? undefined
+        : this.#tellers.tellerOf(region),
+    };
   }
 }
--- a/src/rows/table_follower.ts
+++ b/src/rows/table_follower.ts
@@ -1,19 +1,27 @@
 import type { Clock } from "../base/clock.ts";
+import { ChangeNotifier } from "../base/change_notifier.ts";
 import type { Logger } from "../base/logger.ts";
+import { waitForChange } from "../vms/wait_for_change.ts";
+import { ChangeHistory } from "./change_history.ts";
 import type { Row } from "./row.ts";
 import type { RowChange } from "./row_change.ts";
 import type { RowStore } from "./row_store.ts";
 import type { RowStoreError } from "./row_store_error.ts";
+import type { TableNews } from "./table_news.ts";
+import { versionOfChange } from "./version_of_change.ts";
 
 type Options = {
   store: RowStore;
   table: string;
   clock: Clock;
   logger: Logger;
-  /** Longest wait of one feed call at the store, in milliseconds. */
-  waitMs: number;
-  /** Changes that follow each other within this time come with one call. */
-  gatherMs: number;
+  /** Longest wait of the next feed call at the store, in milliseconds. */
+  waitMs: () => number;
+  /**
+   * Changes that follow each other within this time, in milliseconds, come
+   * with one call.
+   */
+  gatherMs: () => number;
   /** The whole table was read. */
   onSnapshot: (rows: readonly Row[]) => void;
   onChanges: (changes: readonly RowChange[]) => void;
@@ -27,16 +35,29 @@
 const MIN_JITTER = 0.5;
 /** Well below the time in which changes must be in force (2.5 s). */
 const MAX_PAUSE_MS = 800;
+/**
+ * A feed whose last answer is older may have lost its connection. Feed calls
+ * of a VM that tells others wait for 1 s.
+ */
+const MAX_TOLD_AGE_MS = 1600;
+/** The same outage is told by several answers. */
+const SAME_OUTAGE_MS = 500;
 
 /**
- * Follows one table: reads it whole, then takes its changes from the feed.
- * Reads it whole again when the feed's history is lost.
+ * Follows one table: reads it whole, then takes its changes from the feed, or
+ * from a peer while that tells them. Reads it whole again when the feed's
+ * history is lost.
  */
 export class TableFollower {
   readonly #opts: Options;
+  readonly #history = new ChangeHistory();
+  /** Fires when a peer tells changes, or does so no more. */
+  readonly #told = new ChangeNotifier();
   #version: number | undefined;
   #confirmedAt = Number.NEGATIVE_INFINITY;
   #reachable = true;
+  #regainedAt = Number.NEGATIVE_INFINITY;
+  #toldUntil = Number.NEGATIVE_INFINITY;
 
   /**
    * @param opts - the store, the table, and who is told of its rows
@@ -46,10 +67,18 @@
   }
 
   /**
-   * @returns monotonic milliseconds of the last answer of the store
+   * @returns the table's name
+   */
+  get table(): string {
+    return this.#opts.table;
+  }
+
+  /**
+   * @returns the version up to which changes are known, undefined before the
+   * table was read
    */
-  get confirmedAt(): number {
-    return this.#confirmedAt;
+  get version(): number | undefined {
+    return this.#version;
   }
 
   /**
@@ -69,13 +98,14 @@
     let pauseMs = MIN_PAUSE_MS;
     const isOver = () => signal.aborted;
     while (!isOver()) {
+      await this.#untilUntold(signal);
       const err = this.#version === undefined
         ? await this.#readAll(signal)
         : await this.#readChanges(this.#version, signal);
       if (isOver()) return;
       if (err === undefined) {
         pauseMs = MIN_PAUSE_MS;
-        await clock.sleep(this.#opts.gatherMs, signal);
+        await clock.sleep(this.#opts.gatherMs(), signal);
         continue;
       }
       if (err.kind === "history_lost") {
@@ -87,11 +117,83 @@
     }
   }
 
+  /**
+   * @param known - version up to which a peer knows the changes
+   * @returns what the peer is to be told; undefined if this VM does not know
+   * it, because its feed may be behind or its history is too short
+   */
+  newsSince(known: number): TableNews | undefined {
+    const now = this.#opts.clock.now();
+    const changes = this.#history.since(known);
+    const current = this.#reachable &&
+      now - this.#confirmedAt <= MAX_TOLD_AGE_MS;
+    if (!current || changes === undefined || this.#version === undefined) {
+      return undefined;
+    }
+    const regainedMs = now - this.#regainedAt;
+    return {
+      version: this.#version,
+      changes: changes.map((change) =>
+        change.kind === "removed"
+          ? { key: change.key, version: change.version }
+          : {
+            key: change.row.key,
+            version: change.row.version,
+            value: Buffer.from(change.row.value).toString("base64"),
+          }
+      ),
+      ...(Number.isFinite(regainedMs) ? { regainedMs } : {}),
+    };
+  }
+
+  /**
+   * Takes what a peer has told. The feed is not called until `until`.
+   *
+   * @param news - changes after the version that this VM knew
+   * @param until - monotonic milliseconds by which the peer tells more
+   */
+  onTold(news: TableNews, until: number): void {
+    const { table, clock } = this.#opts;
+    // The table is being read again.
+    if (this.#version === undefined) return;
+    this.#toldUntil = until;
+    const regainedAt = clock.now() - (news.regainedMs ?? Infinity);
+    if (regainedAt > this.#regainedAt + SAME_OUTAGE_MS) {
+      this.#regainedAt = regainedAt;
+      this.#opts.onRegained?.();
+    }
+    this.#apply(
+      news.changes.map(({ key, version, value }) =>
+        value === undefined ? { kind: "removed", key, version } : {
+          kind: "written",
+          row: { table, key, version, value: Buffer.from(value, "base64") },
+        }
+      ),
+      news.version,
+    );
+  }
+
+  /** No peer tells changes any more. */
+  onUntold(): void {
+    this.#toldUntil = Number.NEGATIVE_INFINITY;
+    this.#told.notify();
+  }
+
+  async #untilUntold(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#opts;
+    for (;;) {
+      const ms = this.#toldUntil - clock.now();
+      if (ms <= 0 || signal.aborted || this.#version === undefined) return;
+      await waitForChange({ clock, ms, notifiers: [this.#told] }, signal);
+    }
+  }
+
   async #readAll(signal: AbortSignal): Promise<RowStoreError | undefined> {
     const { store, table, onSnapshot } = this.#opts;
     const read = await store.readTable(table, signal);
     if (read.isErr()) return this.#lost(read.error, signal);
     this.#version = read.value.version;
+    this.#history.reset(read.value.version);
     this.#confirm();
     onSnapshot(read.value.rows);
     return undefined;
@@ -101,20 +203,31 @@
     after: number,
     signal: AbortSignal,
   ): Promise<RowStoreError | undefined> {
-    const { store, table, waitMs, onChanges } = this.#opts;
+    const { store, table } = this.#opts;
+    const waitMs = this.#opts.waitMs();
     const read = await store.waitForChanges({ table, after, waitMs }, signal);
     if (read.isErr()) return this.#lost(read.error, signal);
-    this.#version = read.value.version;
     this.#confirm();
-    if (read.value.changes.length > 0) onChanges(read.value.changes);
+    this.#apply(read.value.changes, read.value.version);
     return undefined;
   }
 
+  /** Applies what is new; a peer and the feed may tell the same. */
+  #apply(changes: readonly RowChange[], version: number): void {
+    const known = this.#version ?? Number.NEGATIVE_INFINITY;
+    const fresh = changes.filter((change) => versionOfChange(change) > known);
+    this.#version = Math.max(known, version);
+    if (fresh.length === 0) return;
+    this.#history.add(fresh);
+    this.#opts.onChanges(fresh);
+  }
+
   #confirm(): void {
     const { clock, logger, table } = this.#opts;
     this.#confirmedAt = clock.now();
     if (this.#reachable) return;
     this.#reachable = true;
+    this.#regainedAt = clock.now();
     this.#opts.onRegained?.();
     logger.info({ table, version: this.#version }, "table feed regained");
   }
--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -62,6 +62,7 @@
     metrics: new DirectMetrics(),
     place: { failureDomain: "a1", region: "a" },
     onKey: () => undefined,
+    onOwnersDoubted: () => undefined,
   });
 }
 
--- /dev/null
+++ b/tests/rows/change_history_test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { ChangeHistory } from "../../src/rows/change_history.ts";
+import type { RowChange } from "../../src/rows/row_change.ts";
+
+function change(version: number, key: string, removed: boolean): RowChange {
+  return removed ? { kind: "removed", key, version } : {
+    kind: "written",
+    row: { table: "t", key, version, value: Buffer.from(`${version}`) },
+  };
+}
+
+/** The rows that are left after the changes, by key. */
+function replay(
+  before: ReadonlyMap<string, string>,
+  changes: readonly RowChange[],
+): Map<string, string> {
+  const rows = new Map(before);
+  for (const one of changes) {
+    if (one.kind === "removed") rows.delete(one.key);
+    else rows.set(one.row.key, Buffer.from(one.row.value).toString());
+  }
+  return rows;
+}
+
+test("what is told leads to the same rows as all changes", () => {
+  // Guards against a VM that misses a change, or gets one twice.
+  const changes = fc.array(
+    fc.record({
+      key: fc.constantFrom("a", "b", "c", "d"),
+      removed: fc.boolean(),
+    }),
+    { maxLength: 40 },
+  );
+  fc.assert(fc.property(changes, fc.nat({ max: 40 }), (drawn, cut) => {
+    const all = drawn.map((one, index) =>
+      change(index + 1, one.key, one.removed)
+    );
+    const history = new ChangeHistory();
+    history.reset(0);
+    history.add(all.slice(0, cut));
+    history.add(all.slice(cut));
+    const known = Math.min(cut, all.length);
+    const before = replay(new Map(), all.slice(0, known));
+    const told = history.since(known);
+    assert.ok(told !== undefined);
+    assert.deepEqual(
+      [...replay(before, told)].sort(),
+      [...replay(new Map(), all)].sort(),
+    );
+  }));
+});
+
+for (
+  const { name, keys, known, complete } of [
+    {
+      name: "older than the last whole read",
+      keys: 3,
+      known: 9,
+      complete: false,
+    },
+    {
+      name: "as old as the last whole read",
+      keys: 3,
+      known: 10,
+      complete: true,
+    },
+    { name: "older than what is kept", keys: 1001, known: 10, complete: false },
+    { name: "as old as what is kept", keys: 1001, known: 11, complete: true },
+  ]
+) {
+  test(`a version ${name}: ${complete ? "told" : "not told"}`, () => {
+    const history = new ChangeHistory();
+    history.reset(10);
+    history.add(
+      Array.from(
+        { length: keys },
+        (_, index) => change(11 + index, `key-${index}`, false),
+      ),
+    );
+    assert.equal(history.since(known) !== undefined, complete);
+  });
+}
--- a/tests/rows/table_follower_test.ts
+++ b/tests/rows/table_follower_test.ts
@@ -17,8 +17,8 @@
     table: "t",
     clock,
     logger: silentLogger(),
-    waitMs: 3000,
-    gatherMs: 10,
+    waitMs: () => 3000,
+    gatherMs: () => 10,
     onSnapshot: (all) => {
       seen.snapshots++;
       rows.clear();
--- /dev/null
+++ b/tests/support/relay_rig.ts
@@ -0,0 +1,115 @@
+import { TableFollower } from "../../src/rows/table_follower.ts";
+import { TableRelay } from "../../src/rows/table_relay.ts";
+import { ManualClock } from "./manual_clock.ts";
+import { MemoryPeers } from "./memory_peers.ts";
+import { MemoryRowStore } from "./memory_row_store.ts";
+import { PausableClock } from "./pausable_clock.ts";
+import { silentLogger } from "./silent_logger.ts";
+
+type RelayVm = {
+  vm: string;
+  /** What the VM knows, and how often it was told that the store is back. */
+  seen: { rows: Map<string, string>; regained: number };
+  relay: TableRelay;
+  store: { seen: { refused: boolean } };
+};
+
+const TABLE = "t";
+const STEP_MS = 20;
+
+/** VMs of one region that follow a table of the store. */
+export class RelayRig {
+  readonly clock = new ManualClock();
+  readonly store = new MemoryRowStore(this.clock);
+  readonly peers = new MemoryPeers(this.clock);
+  readonly end = new AbortController();
+  readonly vms: RelayVm[] = [];
+
+  /** Feed calls of all VMs. */
+  feedCalls = 0;
+
+  add(vm: string): void {
+    const { clock, end } = this;
+    const process = new PausableClock(clock, 0);
+    const seen = { rows: new Map<string, string>(), regained: 0 };
+    const store = this.#countingStore();
+    const selfUrl = `http://${vm}`;
+    const follower: TableFollower = new TableFollower({
+      store,
+      table: TABLE,
+      clock: process,
+      logger: silentLogger(),
+      waitMs: () => relay.telling ? 1000 : 3000,
+      gatherMs: () => 100,
+      onSnapshot: (rows) => {
+        seen.rows = new Map(rows.map((row) => [row.key, text(row.value)]));
+      },
+      onChanges: (changes) => {
+        for (const change of changes) {
+          if (change.kind === "removed") seen.rows.delete(change.key);
+          else seen.rows.set(change.row.key, text(change.row.value));
+        }
+      },
+      onRegained: () => {
+        seen.regained++;
+      },
+    });
+    const relay: TableRelay = new TableRelay({
+      followers: [follower],
+      selfUrl,
+      peers: this.peers.client(vm, process),
+      clock: process,
+      logger: silentLogger(),
+      signal: end.signal,
+    });
+    this.peers.listen(selfUrl, { vm, process, handlers: [relay.handler] });
+    void follower.run(end.signal);
+    void relay.run();
+    this.vms.push({ vm, seen, relay, store });
+  }
+
+  /** Names the VM that follows the store for all. */
+  appoint(vm: string): void {
+    for (const { relay } of this.vms) relay.setTeller(`http://${vm}`);
+  }
+
+  put(key: string, value: string): void {
+    this.store.put(TABLE, key, value);
+  }
+
+  drop(key: string): void {
+    this.store.drop(TABLE, key);
+  }
+
+  async pass(ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += STEP_MS) {
+      await this.clock.advance(STEP_MS);
+    }
+  }
+
+  /** The store as one VM sees it: it may refuse this one alone. */
+  #countingStore() {
+    const { store, clock } = this;
+    const seen = { refused: false };
+    const refusing = new MemoryRowStore(clock);
+    refusing.fault = "down";
+    const of = () => seen.refused ? refusing : store;
+    return {
+      seen,
+      transact: (...args: Parameters<MemoryRowStore["transact"]>) =>
+        of().transact(...args),
+      readTable: (...args: Parameters<MemoryRowStore["readTable"]>) =>
+        of().readTable(...args),
+      waitForChanges: (
+        ...args: Parameters<MemoryRowStore["waitForChanges"]>
+      ) => {
+        this.feedCalls++;
+        return of().waitForChanges(...args);
+      },
+    };
+  }
+}
+
+function text(value: Uint8Array): string {
+  return Buffer.from(value).toString();
+}
