feat(ranges): replace a teller that the store refuses; docs: tellers

Cause: a teller whose feed is refused stayed named, and all VMs of its region then called the store (`platform_down` for some VMs only).

Tests: region_tellers_test "replaces a VM that the store refuses" failed before; direct_router_test shows for which requests newer owners are asked for.

--- a/src/ranges/key_report.ts
+++ b/src/ranges/key_report.ts
@@ -16,6 +16,8 @@
     /** Where the VM is, and its peer URL; it may tell others of its region. */
     region: z.string().optional(),
     peerUrl: z.string().optional(),
+    /** Whether the store answers this VM, as far as it knows. */
+    canTell: z.boolean().default(true),
   }),
   result: z.object({
     /** Whether the called VM is the keeper. */
--- a/src/ranges/range_keeper.ts
+++ b/src/ranges/range_keeper.ts
@@ -26,7 +26,7 @@
   grants: RangeGrants;
   peers: PeerClient;
   /** Told which VM follows the store for this one's region. */
-  relay: Pick<TableRelay, "setTeller">;
+  relay: Pick<TableRelay, "setTeller" | "canTell">;
   /** @returns mean time of a service's work, in milliseconds */
   workMs: (service: string) => number;
   clock: Clock;
@@ -185,12 +185,17 @@
   }
 
   async #report(): Promise<void> {
-    const { lease, clock, signal, self } = this.#opts;
+    const { lease, clock, signal, self, relay } = this.#opts;
     while (!signal.aborted) {
       const counts: Record<string, [number, number][]> = {};
       for (const [service, keys] of this.#counts) counts[service] = [...keys];
       this.#counts = new Map();
-      const report: Report = { ...self, counts, speeds: this.#speeds() };
+      const report: Report = {
+        ...self,
+        canTell: relay.canTell,
+        counts,
+        speeds: this.#speeds(),
+      };
       if (lease.held) this.#onAnswer(this.#onReport(report));
       else await this.#send(report);
       const busy = Object.keys(counts).length > 0;
@@ -259,11 +264,8 @@
     lease.onPeer(report.vm, report.incarnation);
     if (!lease.held) return { keeper: false, vms: view.vms };
     const keeper = lease.confirmed;
-    const { vm, region, peerUrl } = report;
-    this.#tellers.onReport(
-      { vm, region: region ?? "", peerUrl: peerUrl ?? "" },
-      now,
-    );
+    const { vm, region = "", peerUrl = "", canTell } = report;
+    this.#tellers.onReport({ vm, region, peerUrl, canTell }, now);
     this.#tellers.forget(
       now - Math.max(REPORTER_MS, REPORTER_REPORTS * this.#intervalMs),
     );
@@ -290,9 +292,7 @@
       keeper,
       vms,
       intervalMs: this.#intervalMs,
-      tellerUrl: region === undefined
-        ? undefined
-        : this.#tellers.tellerOf(region),
+      tellerUrl: region === "" ? undefined : this.#tellers.tellerOf(region),
     };
   }
 }
--- a/src/ranges/region_tellers.ts
+++ b/src/ranges/region_tellers.ts
@@ -1,8 +1,14 @@
-type Reporter = { vm: string; region: string; peerUrl: string };
+type Reporter = {
+  vm: string;
+  region: string;
+  peerUrl: string;
+  /** Whether the store answers the VM. */
+  canTell: boolean;
+};
 
 /**
  * Which VM of each region follows the store for the others. A choice stays as
- * long as the VM reports.
+ * long as the VM reports and the store answers it.
  */
 export class RegionTellers {
   readonly #reporters = new Map<string, Reporter & { at: number }>();
@@ -40,9 +46,9 @@
    */
   tellerOf(region: string): string | undefined {
     const chosen = this.#reporters.get(this.#chosen.get(region) ?? "");
-    if (chosen?.region === region) return chosen.peerUrl;
+    if (chosen?.region === region && chosen.canTell) return chosen.peerUrl;
     const [next] = [...this.#reporters.values()]
-      .filter((one) => one.region === region)
+      .filter((one) => one.region === region && one.canTell)
       .sort((a, b) => a.vm < b.vm ? -1 : 1);
     if (next !== undefined) this.#chosen.set(region, next.vm);
     return next?.peerUrl;
--- a/src/rows/table_follower.ts
+++ b/src/rows/table_follower.ts
@@ -88,6 +88,13 @@
     return this.#confirmedAt !== Number.NEGATIVE_INFINITY;
   }
 
+  /**
+   * @returns whether the store answered the last feed call
+   */
+  get reachable(): boolean {
+    return this.#reachable;
+  }
+
   /**
    * Follows the table until the signal aborts.
    *
--- a/src/rows/table_relay.ts
+++ b/src/rows/table_relay.ts
@@ -65,6 +65,15 @@
     return this.#tellerUrl === this.#opts.selfUrl;
   }
 
+  /**
+   * @returns whether the store answers this VM, as far as it knows
+   */
+  get canTell(): boolean {
+    return this.#opts.followers.every(({ reachable, synced }) =>
+      reachable && synced
+    );
+  }
+
   /**
    * @param url - peer URL of the VM that tells this region; undefined if it is
    * not known
--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -47,7 +47,11 @@
   }
 }
 
-function routerOf(rig: FleetRig<Clock>, slack: number): DirectRouter {
+function routerOf(
+  rig: FleetRig<Clock>,
+  slack: number,
+  onOwnersDoubted: () => void = () => undefined,
+): DirectRouter {
   return new DirectRouter({
     view: rig.view,
     work: new WorkTimes(),
@@ -62,7 +66,7 @@
     metrics: new DirectMetrics(),
     place: { failureDomain: "a1", region: "a" },
     onKey: () => undefined,
-    onOwnersDoubted: () => undefined,
+    onOwnersDoubted,
   });
 }
 
@@ -214,4 +218,47 @@
     assert.equal(summary(outcome), "router_not_current, not_run");
     assert.ok(outcome.kind === "refused" && outcome.retryAfterMs !== undefined);
   });
+
+  // Guards against callers that wait for a report of the new owners, and
+  // against reports for each request that an owner is too busy for.
+  for (
+    const { name, behaviour, slots, previous, doubted } of [
+      { name: "misdirected", behaviour: "misdirect", slots: 2, doubted: true },
+      {
+        name: "waiting for a key that moves",
+        behaviour: "well",
+        slots: 2,
+        previous: [{ id: "u-1", incarnation: 1, fence: 1 }],
+        doubted: true,
+      },
+      { name: "served", behaviour: "well", slots: 2, doubted: false },
+      { name: "refused as too busy", behaviour: "well", slots: 0.01 },
+    ] as const
+  ) {
+    it(`${name}: newer owners are ${doubted ? "" : "not "}asked for`, async () => {
+      const rig = new FleetRig(systemClock, 1);
+      rig.configure([rig.route()], [{ keyed: true }]);
+      const raw = await new RawUpstream((socket) => behave(socket, behaviour))
+        .listen();
+      rig.view.setRegistry([]);
+      rig.upstream({ id: "u-1", address: `127.0.0.1:${raw.port}`, slots });
+      rig.owners({ id: "u-1", previous: [...previous ?? []] });
+      let asked = 0;
+      const router = routerOf(rig, 50, () => asked++);
+      await router.handle({
+        requestId: ID,
+        method: "POST",
+        target: "/a/x",
+        host: "h.example",
+        headers: {},
+        body: undefined,
+        receivedAt: systemClock.now(),
+        deadlineMs: 700,
+        key: 7,
+      }, new AbortController().signal);
+      for (const upstream of rig.view.upstreams) upstream.close();
+      raw.close();
+      assert.equal(asked > 0, doubted ?? false);
+    });
+  }
 });
--- a/tests/ranges/region_tellers_test.ts
+++ b/tests/ranges/region_tellers_test.ts
@@ -3,7 +3,7 @@
 import { RegionTellers } from "../../src/ranges/region_tellers.ts";
 
 function reporter(vm: string, region: string) {
-  return { vm, region, peerUrl: `http://${vm}` };
+  return { vm, region, peerUrl: `http://${vm}`, canTell: true };
 }
 
 describe("RegionTellers", () => {
@@ -29,6 +29,17 @@
     assert.equal(tellers.tellerOf("a"), "http://a-1");
   });
 
+  // Guards against a region whose VMs all call the store because it refuses one.
+  it("replaces a VM that the store refuses", () => {
+    const tellers = new RegionTellers();
+    for (const vm of ["a-1", "a-2"]) tellers.onReport(reporter(vm, "a"), 0);
+    assert.equal(tellers.tellerOf("a"), "http://a-1");
+    tellers.onReport({ ...reporter("a-1", "a"), canTell: false }, 10);
+    assert.equal(tellers.tellerOf("a"), "http://a-2");
+    tellers.onReport({ ...reporter("a-2", "a"), canTell: false }, 20);
+    assert.equal(tellers.tellerOf("a"), undefined);
+  });
+
   it("follows a VM to its new address", () => {
     const tellers = new RegionTellers();
     tellers.onReport(reporter("a-1", "a"), 0);
