fix(deployment): end the processes of a test file that its runner ends

Cause: children were killed on the event "exit" alone, which a signal does not raise. When the runner ended a file after 600 s, or a loop was stopped, routers and stand-ins went on and loaded the computer for what followed.

--- a/dev/deployment/deployment.ts
+++ b/dev/deployment/deployment.ts
@@ -70,8 +70,6 @@
   #platform: ManagedProcess | undefined;
 
   private constructor(private readonly options: Options) {
-    // Each child process has a listener for the end of this one.
-    process.setMaxListeners(0);
     const names = options.operators ?? ["operator"];
     this.credentialFile = this.credentialFileOf(names[0] ?? "");
     for (const name of names) {
--- a/dev/deployment/managed_process.ts
+++ b/dev/deployment/managed_process.ts
@@ -1,6 +1,20 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { closeSync, openSync } from "node:fs";
 
+const running = new Set<ChildProcess>();
+
+function endAll(): void {
+  for (const child of running) child.kill("SIGKILL");
+}
+
+// A demo, bench or test that fails, or that its runner ends because it takes
+// too long, must not leave processes behind.
+process.once("exit", endAll);
+process.once("SIGTERM", () => {
+  endAll();
+  process.kill(process.pid, "SIGTERM");
+});
+
 /** A child process of the demo or the bench, with its log in a file. */
 export class ManagedProcess {
   #child: ChildProcess | undefined;
@@ -30,12 +44,10 @@
     });
     closeSync(log);
     this.#child = child;
-    // A demo or bench that fails must not leave processes behind.
-    const kill = () => child.kill("SIGKILL");
-    process.once("exit", kill);
+    running.add(child);
     this.#ended = new Promise((resolve) => {
       child.on("exit", (code) => {
-        process.off("exit", kill);
+        running.delete(child);
         if (this.#child === child) this.#child = undefined;
         resolve(code);
       });
