--- a/src/ranges/range_keeper.ts
+++ b/src/ranges/range_keeper.ts
@@ -14,8 +14,8 @@
 import { KeyReport } from "./key_report.ts";
 import type { RangeGrants } from "./range_grants.ts";
 import { RegionTellers } from "./region_tellers.ts";
-import { YieldRequest } from "./yield_request.ts";
 import { ServiceRanges } from "./service_ranges.ts";
+import { YieldRequest } from "./yield_request.ts";
 
 type Options = {
   store: RowStore;
@@ -42,12 +42,9 @@
 const REPORT_MS = 700;
 /** Hot keys are to be seen early; a VM without requests reports less often. */
 const REPORT_BUSY_MS = 350;
-/**
- * The keeper may be one of the smallest VMs; 100 reports a second take it some
- * hundredths of a core.
- */
+/** The keeper, which may be one of the smallest VMs, takes 100 a second. */
 const REPORT_PER_VM_MS = 10;
-/** Changes are to be in force within 2.5 s. */
+/** Hot keys and a lost keeper are noticed by reports at any size. */
 const MAX_REPORT_MS = 1200;
 const REPORT_TIMEOUT_MS = 900;
 /** Smaller changes of an upstream's speed are not worth a message. */
