refactor(rows): call the VM that follows the store for its region a relay

The words were of our own making (teller, news, told); relay and changes are the usual ones. Names, message fields and log texts change, nothing else.

--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -50,11 +50,11 @@
  * which is what keeps changes in force within 2.5 s when a connection dies.
  */
 const FEED_WAIT_MS = 3000;
-/** Others rely on a VM that tells them what the feed brings. */
-const FEED_WAIT_TELLER_MS = 1000;
+/** The VMs of a region rely on their relay. */
+const FEED_WAIT_RELAY_MS = 1000;
 /** Calls to the store are billed; a tenth of the time for changes (2.5 s). */
 const GATHER_MS = 250;
-/** Each VM adds a call for each change that no peer tells. */
+/** Each VM adds a call for each change that no relay brings. */
 const GATHER_PER_VM_MS = 10;
 const MAX_GATHER_MS = 1000;
 /** Callers wait for keys that move. */
@@ -114,7 +114,7 @@
     this.#view = view;
     const sources = opts.sources(view);
     const gatherMs = () =>
-      this.#relay.telling ? GATHER_MS : Math.min(
+      this.#relay.relaying ? GATHER_MS : Math.min(
         MAX_GATHER_MS,
         Math.max(GATHER_MS, GATHER_PER_VM_MS * view.vms),
       );
@@ -327,7 +327,7 @@
       store,
       clock,
       logger,
-      waitMs: () => this.#relay.telling ? FEED_WAIT_TELLER_MS : FEED_WAIT_MS,
+      waitMs: () => this.#relay.relaying ? FEED_WAIT_RELAY_MS : FEED_WAIT_MS,
       gatherMs,
       ...(onRegained === undefined ? {} : { onRegained }),
     });
--- a/src/ranges/key_report.ts
+++ b/src/ranges/key_report.ts
@@ -13,11 +13,11 @@
     ),
     /** Usual time of work at upstreams with keys, relative to the mean. */
     speeds: z.record(z.string(), z.number()),
-    /** Where the VM is, and its peer URL; it may tell others of its region. */
+    /** Where the VM is, and its peer URL; it may become its region's relay. */
     region: z.string().optional(),
     peerUrl: z.string().optional(),
     /** Whether the store answers this VM, as far as it knows. */
-    canTell: z.boolean().default(true),
+    canRelay: z.boolean().default(true),
   }),
   result: z.object({
     /** Whether the called VM is the keeper. */
@@ -27,6 +27,6 @@
     /** Time in milliseconds after which a busy VM reports again. */
     intervalMs: z.number().positive().optional(),
     /** Peer URL of the VM that follows the store for the reporter's region. */
-    tellerUrl: z.string().optional(),
+    relayUrl: z.string().optional(),
   }),
 };
--- a/src/ranges/range_keeper.ts
+++ b/src/ranges/range_keeper.ts
@@ -13,7 +13,7 @@
 import { KeyLoad } from "./key_load.ts";
 import { KeyReport } from "./key_report.ts";
 import type { RangeGrants } from "./range_grants.ts";
-import { RegionTellers } from "./region_tellers.ts";
+import { RegionRelays } from "./region_relays.ts";
 import { ServiceRanges } from "./service_ranges.ts";
 import { YieldRequest } from "./yield_request.ts";
 
@@ -25,8 +25,8 @@
   lease: KeeperLease;
   grants: RangeGrants;
   peers: PeerClient;
-  /** Told which VM follows the store for this one's region. */
-  relay: Pick<TableRelay, "setTeller" | "canTell">;
+  /** Where this VM gets changes of the store, and whether it can relay them. */
+  relay: Pick<TableRelay, "setRelay" | "canRelay">;
   /** @returns mean time of a service's work, in milliseconds */
   workMs: (service: string) => number;
   clock: Clock;
@@ -68,7 +68,7 @@
   readonly #told = new Map<string, number>();
   /** Speeds of upstreams that VMs have told this one. */
   readonly #reported = new Map<string, number>();
-  readonly #tellers = new RegionTellers();
+  readonly #relays = new RegionRelays();
   /** How often this VM reports while it has requests. */
   #intervalMs = REPORT_BUSY_MS;
 
@@ -189,7 +189,7 @@
       this.#counts = new Map();
       const report: Report = {
         ...self,
-        canTell: relay.canTell,
+        canRelay: relay.canRelay,
         counts,
         speeds: this.#speeds(),
       };
@@ -225,7 +225,7 @@
     const { lease, peers, signal, logger, relay } = this.#opts;
     const { keeperUrl } = lease;
     if (keeperUrl === undefined) {
-      relay.setTeller(undefined);
+      relay.setRelay(undefined);
       lease.suspect();
       return;
     }
@@ -241,18 +241,18 @@
         keeperUrl,
         err: answer.isErr() ? answer.error : undefined,
       }, "report not taken");
-      relay.setTeller(undefined);
+      relay.setRelay(undefined);
       lease.suspect();
       return;
     }
     this.#onAnswer(answer.value);
   }
 
-  #onAnswer({ vms, intervalMs, tellerUrl }: ReportAnswer): void {
+  #onAnswer({ vms, intervalMs, relayUrl }: ReportAnswer): void {
     const { view, relay } = this.#opts;
     view.setVms(vms);
     this.#intervalMs = intervalMs ?? REPORT_BUSY_MS;
-    relay.setTeller(tellerUrl);
+    relay.setRelay(relayUrl);
   }
 
   #onReport(report: Report): ReportAnswer {
@@ -261,9 +261,9 @@
     lease.onPeer(report.vm, report.incarnation);
     if (!lease.held) return { keeper: false, vms: view.vms };
     const keeper = lease.confirmed;
-    const { vm, region = "", peerUrl = "", canTell } = report;
-    this.#tellers.onReport({ vm, region, peerUrl, canTell }, now);
-    this.#tellers.forget(
+    const { vm, region = "", peerUrl = "", canRelay } = report;
+    this.#relays.onReport({ vm, region, peerUrl, canRelay }, now);
+    this.#relays.forget(
       now - Math.max(REPORTER_MS, REPORTER_REPORTS * this.#intervalMs),
     );
     for (const [service, counts] of Object.entries(report.counts)) {
@@ -279,7 +279,7 @@
         before === undefined ? speed : (before + speed) / 2,
       );
     }
-    const vms = this.#tellers.count;
+    const vms = this.#relays.count;
     view.setVms(vms);
     this.#intervalMs = Math.min(
       MAX_REPORT_MS,
@@ -289,7 +289,7 @@
       keeper,
       vms,
       intervalMs: this.#intervalMs,
-      tellerUrl: region === "" ? undefined : this.#tellers.tellerOf(region),
+      relayUrl: region === "" ? undefined : this.#relays.relayOf(region),
     };
   }
 }
--- a/src/ranges/region_tellers.ts
+++ b/src/ranges/region_relays.ts
@@ -3,14 +3,14 @@
   region: string;
   peerUrl: string;
   /** Whether the store answers the VM. */
-  canTell: boolean;
+  canRelay: boolean;
 };
 
 /**
  * Which VM of each region follows the store for the others. A choice stays as
  * long as the VM reports and the store answers it.
  */
-export class RegionTellers {
+export class RegionRelays {
   readonly #reporters = new Map<string, Reporter & { at: number }>();
   readonly #chosen = new Map<string, string>();
 
@@ -44,11 +44,11 @@
    * @param region - a region
    * @returns peer URL of the VM that follows the store for it
    */
-  tellerOf(region: string): string | undefined {
+  relayOf(region: string): string | undefined {
     const chosen = this.#reporters.get(this.#chosen.get(region) ?? "");
-    if (chosen?.region === region && chosen.canTell) return chosen.peerUrl;
+    if (chosen?.region === region && chosen.canRelay) return chosen.peerUrl;
     const [next] = [...this.#reporters.values()]
-      .filter((one) => one.region === region && one.canTell)
+      .filter((one) => one.region === region && one.canRelay)
       .sort((a, b) => a.vm < b.vm ? -1 : 1);
     if (next !== undefined) this.#chosen.set(region, next.vm);
     return next?.peerUrl;
--- a/src/rows/table_news.ts
+++ b/src/rows/table_changes.ts
@@ -1,8 +1,8 @@
 import { z } from "zod";
 
-/** What one VM tells another of the changes of a table. */
-export const TableNews = z.object({
-  /** All changes up to this version are among those told or known. */
+/** Changes of a table, as a relay sends them. */
+export const TableChanges = z.object({
+  /** All changes up to this version are among these or were known before. */
   version: z.number().int(),
   /** The last change of each row, in ascending order of versions. */
   changes: z.array(z.object({
@@ -14,4 +14,4 @@
   /** Milliseconds since the store answered again; absent without an outage. */
   regainedMs: z.number().nonnegative().optional(),
 });
-export type TableNews = z.infer<typeof TableNews>;
+export type TableChanges = z.infer<typeof TableChanges>;
--- a/src/rows/table_follower.ts
+++ b/src/rows/table_follower.ts
@@ -7,7 +7,7 @@
 import type { RowChange } from "./row_change.ts";
 import type { RowStore } from "./row_store.ts";
 import type { RowStoreError } from "./row_store_error.ts";
-import type { TableNews } from "./table_news.ts";
+import type { TableChanges } from "./table_changes.ts";
 import { versionOfChange } from "./version_of_change.ts";
 
 type Options = {
@@ -37,30 +37,30 @@
 const MAX_PAUSE_MS = 800;
 /**
  * A feed whose last answer is older may have lost its connection. Feed calls
- * of a VM that tells others wait for 1 s.
+ * of a relay wait for 1 s.
  */
-const MAX_TOLD_AGE_MS = 1600;
-/** The same outage is told by several answers. */
+const MAX_RELAYED_AGE_MS = 1600;
+/** Several answers of a relay report the same outage. */
 const SAME_OUTAGE_MS = 500;
 
 /**
  * Follows one table: reads it whole, then takes its changes from the feed, or
- * from a peer while that tells them. Reads it whole again when the feed's
+ * from a relay while there is one. Reads it whole again when the feed's
  * history is lost.
  */
 export class TableFollower {
   readonly #opts: Options;
   readonly #history = new ChangeHistory();
-  /** Fires when a peer tells changes, or does so no more. */
-  readonly #told = new ChangeNotifier();
+  /** Fires when the relay is lost. */
+  readonly #relayLost = new ChangeNotifier();
   #version: number | undefined;
   #confirmedAt = Number.NEGATIVE_INFINITY;
   #reachable = true;
   #regainedAt = Number.NEGATIVE_INFINITY;
-  #toldUntil = Number.NEGATIVE_INFINITY;
+  #relayedUntil = Number.NEGATIVE_INFINITY;
 
   /**
-   * @param opts - the store, the table, and who is told of its rows
+   * @param opts - the store, the table, and who gets its rows
    */
   constructor(opts: Options) {
     this.#opts = opts;
@@ -105,7 +105,7 @@
     let pauseMs = MIN_PAUSE_MS;
     const isOver = () => signal.aborted;
     while (!isOver()) {
-      await this.#untilUntold(signal);
+      await this.#untilRelayEnds(signal);
       const err = this.#version === undefined
         ? await this.#readAll(signal)
         : await this.#readChanges(this.#version, signal);
@@ -126,14 +126,14 @@
 
   /**
    * @param known - version up to which a peer knows the changes
-   * @returns what the peer is to be told; undefined if this VM does not know
-   * it, because its feed may be behind or its history is too short
+   * @returns what the peer has missed; undefined if this VM does not know it,
+   * because its feed may be behind or its history is too short
    */
-  newsSince(known: number): TableNews | undefined {
+  changesSince(known: number): TableChanges | undefined {
     const now = this.#opts.clock.now();
     const changes = this.#history.since(known);
     const current = this.#reachable &&
-      now - this.#confirmedAt <= MAX_TOLD_AGE_MS;
+      now - this.#confirmedAt <= MAX_RELAYED_AGE_MS;
     if (!current || changes === undefined || this.#version === undefined) {
       return undefined;
     }
@@ -154,44 +154,44 @@
   }
 
   /**
-   * Takes what a peer has told. The feed is not called until `until`.
+   * Takes changes from a relay. The feed is not called until `until`.
    *
-   * @param news - changes after the version that this VM knew
-   * @param until - monotonic milliseconds by which the peer tells more
+   * @param relayed - changes after the version that this VM knew
+   * @param until - monotonic milliseconds by which the relay sends more
    */
-  onTold(news: TableNews, until: number): void {
+  onRelayed(relayed: TableChanges, until: number): void {
     const { table, clock } = this.#opts;
     // The table is being read again.
     if (this.#version === undefined) return;
-    this.#toldUntil = until;
-    const regainedAt = clock.now() - (news.regainedMs ?? Infinity);
+    this.#relayedUntil = until;
+    const regainedAt = clock.now() - (relayed.regainedMs ?? Infinity);
     if (regainedAt > this.#regainedAt + SAME_OUTAGE_MS) {
       this.#regainedAt = regainedAt;
       this.#opts.onRegained?.();
     }
     this.#apply(
-      news.changes.map(({ key, version, value }) =>
+      relayed.changes.map(({ key, version, value }) =>
         value === undefined ? { kind: "removed", key, version } : {
           kind: "written",
           row: { table, key, version, value: Buffer.from(value, "base64") },
         }
       ),
-      news.version,
+      relayed.version,
     );
   }
 
-  /** No peer tells changes any more. */
-  onUntold(): void {
-    this.#toldUntil = Number.NEGATIVE_INFINITY;
-    this.#told.notify();
+  /** No relay sends changes any more. */
+  onRelayLost(): void {
+    this.#relayedUntil = Number.NEGATIVE_INFINITY;
+    this.#relayLost.notify();
   }
 
-  async #untilUntold(signal: AbortSignal): Promise<void> {
+  async #untilRelayEnds(signal: AbortSignal): Promise<void> {
     const { clock } = this.#opts;
     for (;;) {
-      const ms = this.#toldUntil - clock.now();
+      const ms = this.#relayedUntil - clock.now();
       if (ms <= 0 || signal.aborted || this.#version === undefined) return;
-      await waitForChange({ clock, ms, notifiers: [this.#told] }, signal);
+      await waitForChange({ clock, ms, notifiers: [this.#relayLost] }, signal);
     }
   }
 
@@ -219,7 +219,7 @@
     return undefined;
   }
 
-  /** Applies what is new; a peer and the feed may tell the same. */
+  /** Applies what is new; the relay and the feed may bring the same. */
   #apply(changes: readonly RowChange[], version: number): void {
     const known = this.#version ?? Number.NEGATIVE_INFINITY;
     const fresh = changes.filter((change) => versionOfChange(change) > known);
--- a/src/rows/table_relay.ts
+++ b/src/rows/table_relay.ts
@@ -4,9 +4,9 @@
 import type { RpcHandler } from "../links/rpc_handler.ts";
 import type { PeerClient } from "../vms/peer_client.ts";
 import { waitForChange } from "../vms/wait_for_change.ts";
-import { NewsQuery } from "./news_query.ts";
+import { ChangesQuery } from "./changes_query.ts";
 import type { TableFollower } from "./table_follower.ts";
-import type { TableNews } from "./table_news.ts";
+import type { TableChanges } from "./table_changes.ts";
 
 type Options = {
   followers: readonly TableFollower[];
@@ -19,29 +19,29 @@
 };
 
 /**
- * Larger news are left to the store, whose link is faster than that of a VM
- * which would tell them to all others of its region.
+ * Larger changes are left to the store, whose link is faster than that of a
+ * relay, which would send them to all VMs of its region.
  */
-const MAX_NEWS_BYTES = 8192;
+const MAX_CHANGES_BYTES = 8192;
 /** Changes are to be in force within 2.5 s. */
 const ASK_MS = 500;
 const ASK_TIMEOUT_MS = 700;
-/** Who needs news at once asks after this part of the usual pause. */
+/** A VM that needs changes at once asks after this part of the pause. */
 const ASKS_PER_PAUSE = 5;
-/** Without news for so long, a VM asks the store itself. */
-const NEWS_MS = 2 * ASK_MS + ASK_TIMEOUT_MS;
+/** Without an answer of the relay for so long, a VM asks the store itself. */
+const RELAYED_MS = 2 * ASK_MS + ASK_TIMEOUT_MS;
 
 /**
- * Takes changes of the store from one VM of the region, so that calls to the
- * store do not grow with changes times VMs.
+ * Takes changes of the store from the relay of the region, one of its VMs, so
+ * that calls to the store do not grow with changes times VMs.
  */
 export class TableRelay {
   /** Answers the other VMs of the region. */
   readonly handler: RpcHandler;
   readonly #opts: Options;
-  /** Fires when news are needed before they are due, or from another VM. */
+  /** Fires when changes are needed at once, or from another relay. */
   readonly #needed = new ChangeNotifier();
-  #tellerUrl: string | undefined;
+  #relayUrl: string | undefined;
 
   /**
    * @param opts - the tables that this VM follows, and the other VMs
@@ -49,11 +49,11 @@
   constructor(opts: Options) {
     this.#opts = opts;
     this.handler = {
-      method: NewsQuery.method,
-      params: NewsQuery.params,
+      method: ChangesQuery.method,
+      params: ChangesQuery.params,
       handle: (params) =>
         Promise.resolve({
-          news: this.#newsSince(NewsQuery.params.parse(params).known),
+          changes: this.#changesSince(ChangesQuery.params.parse(params).known),
         }),
     };
   }
@@ -61,30 +61,29 @@
   /**
    * @returns whether this VM follows the store for its region
    */
-  get telling(): boolean {
-    return this.#tellerUrl === this.#opts.selfUrl;
+  get relaying(): boolean {
+    return this.#relayUrl === this.#opts.selfUrl;
   }
 
   /**
    * @returns whether the store answers this VM, as far as it knows
    */
-  get canTell(): boolean {
+  get canRelay(): boolean {
     return this.#opts.followers.every(({ reachable, synced }) =>
       reachable && synced
     );
   }
 
   /**
-   * @param url - peer URL of the VM that tells this region; undefined if it is
-   * not known
+   * @param url - peer URL of this region's relay; undefined if it is not known
    */
-  setTeller(url: string | undefined): void {
-    if (url === this.#tellerUrl) return;
+  setRelay(url: string | undefined): void {
+    if (url === this.#relayUrl) return;
     this.#opts.logger.info(
-      { before: this.#tellerUrl, teller: url },
-      "source of the store's changes replaced",
+      { before: this.#relayUrl, relay: url },
+      "relay of the region changed",
     );
-    this.#tellerUrl = url;
+    this.#relayUrl = url;
     this.#needed.notify();
   }
 
@@ -93,12 +92,12 @@
     this.#needed.notify();
   }
 
-  /** Asks for news until the signal aborts. */
+  /** Asks the relay for changes until the signal aborts. */
   async run(): Promise<void> {
     const { clock, signal } = this.#opts;
     while (!signal.aborted) {
-      const url = this.#tellerUrl;
-      if (url === undefined || this.telling) this.#onUntold();
+      const url = this.#relayUrl;
+      if (url === undefined || this.relaying) this.#onRelayLost();
       else await this.#ask(url);
       const askedAt = clock.now();
       await waitForChange(
@@ -114,22 +113,22 @@
     const { peers, clock, logger, signal, followers } = this.#opts;
     const answer = await peers.call({
       peerUrl,
-      method: NewsQuery.method,
+      method: ChangesQuery.method,
       params: { known: this.#known() },
-      result: NewsQuery.result,
+      result: ChangesQuery.result,
       timeoutMs: ASK_TIMEOUT_MS,
     }, signal);
     if (answer.isErr()) {
-      logger.info({ peerUrl, err: answer.error }, "news not told");
-      this.#onUntold();
+      logger.info({ peerUrl, err: answer.error }, "relay does not answer");
+      this.#onRelayLost();
       return;
     }
-    const { news } = answer.value;
-    const until = clock.now() + NEWS_MS;
+    const { changes } = answer.value;
+    const until = clock.now() + RELAYED_MS;
     for (const follower of followers) {
-      const found = news[follower.table];
-      if (found === undefined) follower.onUntold();
-      else follower.onTold(found, until);
+      const found = changes[follower.table];
+      if (found === undefined) follower.onRelayLost();
+      else follower.onRelayed(found, until);
     }
   }
 
@@ -141,26 +140,28 @@
     return known;
   }
 
-  #newsSince(known: Record<string, number>): Record<string, TableNews> {
-    const news: Record<string, TableNews> = {};
+  #changesSince(known: Record<string, number>): Record<string, TableChanges> {
+    const relayed: Record<string, TableChanges> = {};
     for (const follower of this.#opts.followers) {
       const version = known[follower.table];
       if (version === undefined) continue;
-      const found = follower.newsSince(version);
-      if (found !== undefined && isSmall(found)) news[follower.table] = found;
+      const found = follower.changesSince(version);
+      if (found !== undefined && isSmall(found)) {
+        relayed[follower.table] = found;
+      }
     }
-    return news;
+    return relayed;
   }
 
-  #onUntold(): void {
-    for (const follower of this.#opts.followers) follower.onUntold();
+  #onRelayLost(): void {
+    for (const follower of this.#opts.followers) follower.onRelayLost();
   }
 }
 
-function isSmall({ changes }: TableNews): boolean {
+function isSmall({ changes }: TableChanges): boolean {
   const bytes = changes.reduce(
     (sum, { key, value }) => sum + key.length + (value?.length ?? 0),
     0,
   );
-  return bytes <= MAX_NEWS_BYTES;
+  return bytes <= MAX_CHANGES_BYTES;
 }
--- a/tests/rows/change_history_test.ts
+++ b/tests/rows/change_history_test.ts
@@ -24,7 +24,7 @@
   return rows;
 }
 
-test("what is told leads to the same rows as all changes", () => {
+test("what is kept leads to the same rows as all changes", () => {
   // Guards against a VM that misses a change, or gets one twice.
   const changes = fc.array(
     fc.record({
@@ -43,10 +43,10 @@
     history.add(all.slice(cut));
     const known = Math.min(cut, all.length);
     const before = replay(new Map(), all.slice(0, known));
-    const told = history.since(known);
-    assert.ok(told !== undefined);
+    const kept = history.since(known);
+    assert.ok(kept !== undefined);
     assert.deepEqual(
-      [...replay(before, told)].sort(),
+      [...replay(before, kept)].sort(),
       [...replay(new Map(), all)].sort(),
     );
   }));
@@ -70,7 +70,7 @@
     { name: "as old as what is kept", keys: 1001, known: 11, complete: true },
   ]
 ) {
-  test(`a version ${name}: ${complete ? "told" : "not told"}`, () => {
+  test(`a version ${name}: ${complete ? "kept" : "not kept"}`, () => {
     const history = new ChangeHistory();
     history.reset(10);
     history.add(
--- a/tests/rows/table_relay_test.ts
+++ b/tests/rows/table_relay_test.ts
@@ -47,7 +47,7 @@
     rig.end.abort();
   });
 
-  it("brings news at once to who needs them", async () => {
+  it("brings changes at once to a VM that needs them", async () => {
     const rig = await started(2);
     rig.put("a", "new");
     for (let passed = 0; passed < 240; passed += 20) {
@@ -58,7 +58,7 @@
     rig.end.abort();
   });
 
-  // Guards against VMs that go on with old owners when their teller is lost.
+  // Guards against VMs that go on with old owners when their relay is lost.
   for (
     const { name, lose } of [
       {
@@ -76,16 +76,16 @@
       {
         name: "is refused by the store",
         lose: (rig: RelayRig) => {
-          const teller = rig.vms[0];
-          if (teller !== undefined) teller.store.seen.refused = true;
+          const relay = rig.vms[0];
+          if (relay !== undefined) relay.store.seen.refused = true;
         },
       },
     ]
   ) {
-    it(`asks the store when the teller ${name}`, async () => {
+    it(`asks the store when the relay ${name}`, async () => {
       const rig = await started(4);
       lose(rig);
-      // A feed call of the teller may be under way when it is refused.
+      // A feed call of the relay may be under way when it is refused.
       await rig.pass(1800);
       rig.put("a", "after");
       await rig.pass(2500);
@@ -96,8 +96,8 @@
     });
   }
 
-  // Guards against a VM that knows nothing new while the store refuses it.
-  it("brings news to a VM that the store refuses", async () => {
+  // Guards against a VM that learns nothing while the store refuses it.
+  it("brings changes to a VM that the store refuses", async () => {
     const rig = await started(3);
     const refused = rig.vms[2];
     assert.ok(refused !== undefined);
@@ -109,8 +109,8 @@
   });
 
   // Guards against upstreams that are dropped at once when their entries
-  // lapsed in an outage which only the teller has noticed.
-  it("tells every VM that the store was away", async () => {
+  // lapsed in an outage which only the relay has noticed.
+  it("lets every VM know that the store was away", async () => {
     const rig = await started(3);
     rig.store.fault = "down";
     rig.put("a", "2");
@@ -123,7 +123,7 @@
     rig.end.abort();
   });
 
-  it("leaves large news to the store", async () => {
+  it("leaves large changes to the store", async () => {
     const rig = await started(3);
     const large = "x".repeat(60_000);
     rig.put("a", large);
--- a/tests/support/relay_rig.ts
+++ b/tests/support/relay_rig.ts
@@ -8,7 +8,7 @@
 
 type RelayVm = {
   vm: string;
-  /** What the VM knows, and how often it was told that the store is back. */
+  /** What the VM knows, and how often it learned that the store is back. */
   seen: { rows: Map<string, string>; regained: number };
   relay: TableRelay;
   store: { seen: { refused: boolean } };
@@ -39,7 +39,7 @@
       table: TABLE,
       clock: process,
       logger: silentLogger(),
-      waitMs: () => relay.telling ? 1000 : 3000,
+      waitMs: () => relay.relaying ? 1000 : 3000,
       gatherMs: () => 100,
       onSnapshot: (rows) => {
         seen.rows = new Map(rows.map((row) => [row.key, text(row.value)]));
@@ -70,7 +70,7 @@
 
   /** Names the VM that follows the store for all. */
   appoint(vm: string): void {
-    for (const { relay } of this.vms) relay.setTeller(`http://${vm}`);
+    for (const { relay } of this.vms) relay.setRelay(`http://${vm}`);
   }
 
   put(key: string, value: string): void {
