fix(regions): end the release of a pin when the pin leaves the row

Cause: a coordinator ended a release when the unit's owner in the row was no longer the releaser. The upstream that a key is pinned to may own the key's shard as well; then the owner does not change, and its dispatcher is told to release the key for the rest of the term. planPins also dropped the pin of a key whose shard had no owner for one row, which happens when the target of a move is lost. Ruled out: the upstream without dispatcher, an outage, lost reports; see docs/incidents/key-without-owner.md. Change: the release of a pin ends with the row that removes the pin; a pin is kept while its shard has no owner. Before: region_term_test (release of a pin, upstream owns the shard) and plan_pins_test (shard without owner) fail. After: both pass; 90 tests of shards and regions pass.

--- a/dev/bench/imbalance.ts
+++ b/dev/bench/imbalance.ts
@@ -124,6 +124,7 @@
           usable: true,
           accepting: true,
         })),
+        isOwn: () => true,
         ownerOf: (digest) => owners[shardOf(digest, SHARDS)],
         coolSince: state.coolSince,
       }, clock.now());
--- a/src/regions/plan_units.ts
+++ b/src/regions/plan_units.ts
@@ -228,7 +228,7 @@
     if (move.target === undefined) present.delete(digest);
     else present.set(digest, move.target);
   }
-  const owns = (digest: string) =>
+  const isOwn = (digest: string) =>
     shards.length > 0 && input.own.has(shardOf(digest, shards.length));
   const result = planPins({
     pins: present,
@@ -240,7 +240,8 @@
       accepting: input.ready.has(facts.id) && facts.state === "warm" &&
         (input.weights.get(facts.id) ?? 1) === 1,
     })),
-    ownerOf: (digest) => owns(digest) ? state.ownerByShard(digest) : undefined,
+    isOwn,
+    ownerOf: (digest) => isOwn(digest) ? state.ownerByShard(digest) : undefined,
     coolSince: state.coolSince,
   }, input.now);
   state.coolSince = result.coolSince;
--- a/src/regions/service_state.ts
+++ b/src/regions/service_state.ts
@@ -140,7 +140,7 @@
       }
     }
     for (const [unit, move] of this.moves) {
-      if (this.ownerOfUnit(unit) !== move.source) this.moves.delete(unit);
+      if (this.#isDone(unit, move, before.pins)) this.moves.delete(unit);
     }
     return true;
   }
@@ -261,6 +261,19 @@
       this.holdings.get(upstream)?.epoch !== wait.epoch;
   }
 
+  #isDone(
+    unit: string,
+    move: Move,
+    pinsBefore: AssignmentRow["pins"],
+  ): boolean {
+    if (this.ownerOfUnit(unit) !== move.source) return true;
+    if (!unit.startsWith("pin:")) return false;
+    // The upstream that a key was pinned to may own the key's shard as well.
+    const digest = unit.slice("pin:".length);
+    return pinsBefore[digest] !== undefined &&
+      this.content.pins[digest] === undefined;
+  }
+
   #limits(): { checksGrants: boolean; maxRunMs: number } {
     return { checksGrants: this.#checksGrants, maxRunMs: this.#maxRunMs };
   }
--- a/src/shards/plan_pins.ts
+++ b/src/shards/plan_pins.ts
@@ -24,8 +24,9 @@
  * Chooses which hot keys are assigned individually, and where.
  *
  * @param input - `pins` the present upstream of each pinned digest; `hotKeys`
- * as reported; `ownerOf` the upstream that owns an unpinned digest through its
- * shard, undefined if the region does not own it; `coolSince` since when each
+ * as reported; `isOwn` whether the region owns a digest's shard; `ownerOf` the
+ * upstream that owns an unpinned digest through its shard, undefined if the
+ * shard is not owned by the region or between two owners; `coolSince` since when each
  * pinned digest has been below the threshold, as returned by the last call
  * @param now - monotonic milliseconds
  * @returns the wanted pins and the new `coolSince`
@@ -35,6 +36,7 @@
     pins: ReadonlyMap<string, string>;
     hotKeys: readonly HotKey[];
     upstreams: readonly PinTarget[];
+    isOwn: (digest: string) => boolean;
     ownerOf: (digest: string) => string | undefined;
     coolSince: ReadonlyMap<string, number>;
   },
@@ -64,7 +66,7 @@
       : undefined;
     if (since !== undefined) coolSince.set(digest, since);
     const cool = since !== undefined && now - since >= UNPIN_AFTER_MS;
-    if (cool || input.ownerOf(digest) === undefined) {
+    if (cool || !input.isOwn(digest)) {
       coolSince.delete(digest);
       continue;
     }
--- a/tests/regions/region_term_test.ts
+++ b/tests/regions/region_term_test.ts
@@ -231,6 +231,67 @@
   });
 }
 
+// Guards against a key that its upstream's dispatcher refuses for ever: the pin
+// ends, and the upstream owns the key's shard as well.
+for (
+  const { name, shards } of [
+    { name: "owns the key's shard", shards: [0, 1] },
+    { name: "does not own the key's shard", shards: [1, 0] },
+  ]
+) {
+  test(`the release of a pin ends if the upstream ${name}`, () => {
+    const digest = "0000000000000001";
+    const run = start({
+      checksGrants: true,
+      row: rowOf({ shards, pins: { [digest]: "a" } }),
+    });
+    let seq = 0;
+    const reportAll = (now: number, changes: { revision: number }) => {
+      seq += 1;
+      const rows = { usage: changes.revision };
+      const common = { seq, coordinatorEpoch: 2, rows };
+      report(run, "y", now, {
+        ...common,
+        tenures: holds("b", 4),
+        upstreams: stateOf("b"),
+      });
+      return (released: { unit: string }[]) =>
+        report(run, "x", now, {
+          ...common,
+          tenures: holds("a", 3),
+          upstreams: stateOf("a"),
+          released: released.map(({ unit }) => ({
+            service: "usage",
+            upstream: "a",
+            unit,
+            readyInMs: 0,
+          })),
+        });
+    };
+    const unit = `pin:${digest}`;
+    let now = TTL_MS + 100;
+    let grant = reportAll(now, { revision: 9 })([]);
+    while (grant.releases.length === 0 && now < 70_000) {
+      run.plan(now);
+      now += 1000;
+      grant = reportAll(now, { revision: 9 })([]);
+    }
+    assert.deepEqual(grant.releases, [
+      { service: "usage", upstream: "a", units: [unit] },
+    ]);
+    reportAll(now, { revision: 9 })([{ unit }]);
+    const [write] = [...run.plan(now + 1), ...run.plan(now + 30)];
+    assert.ok(write !== undefined);
+    assert.deepEqual(write.row.pins, {});
+    run.term.adopt({ revision: 10, row: write.row }, now + 31);
+    run.term.settled("usage", { gainsBlocked: false });
+    reportAll(now + 40, { revision: 10 })([]);
+    run.plan(now + 41);
+    grant = reportAll(now + 50, { revision: 10 })([]);
+    assert.deepEqual(grant.releases, []);
+  });
+}
+
 // Guards against a tenure that is renewed although a write that replaces it may
 // still take effect.
 test("a tenure is not renewed once its replacement may have been written", () => {
--- a/tests/shards/plan_pins_test.ts
+++ b/tests/shards/plan_pins_test.ts
@@ -61,6 +61,18 @@
     hot: [["elsewhere", 50]],
     expected: [],
   },
+  {
+    name: "a pinned key that another region now owns is unpinned",
+    pins: [["elsewhere", "a"]],
+    hot: [["elsewhere", 50]],
+    expected: [],
+  },
+  {
+    name: "a pinned key whose shard has no owner for a moment stays pinned",
+    pins: [["ownerless", "a"]],
+    hot: [["ownerless", 16]],
+    expected: [["ownerless", "a"]],
+  },
 ];
 
 for (const { name, pins, hot, coolSince, out, expected } of cases) {
@@ -72,7 +84,8 @@
         ...upstream,
         usable: upstream.id !== out,
       })),
-      ownerOf: (digest) => digest === "elsewhere" ? undefined : "a",
+      isOwn: (digest) => digest !== "elsewhere",
+      ownerOf: (digest) => digest === "k" ? "a" : undefined,
       coolSince: new Map(coolSince ?? []),
     }, 100_000);
     assert.deepEqual([...result.pins], expected);
@@ -86,6 +99,7 @@
     pins,
     hotKeys: [{ digest: "new", ratePerS: 50 }],
     upstreams,
+    isOwn: () => true,
     ownerOf: () => "a",
     coolSince: new Map(),
   }, 0);
@@ -113,6 +127,7 @@
         usable: true,
         accepting: true,
       })),
+      isOwn: () => true,
       ownerOf: () => "u-0",
       coolSince: new Map(),
     }, 100_000);
