fix(rows): leave a relay that is behind, and forget old outages

Cause: after a freeze a relay's clock has not moved, so it takes its feed for fresh and its answers hold back the feeds of VMs that know more, for up to 1.7 s an answer. A VM that starts took an outage of any age in a relay's answer for one that had just ended. Ruled out: refusing a relay that is behind by any amount: it learns of a change up to one gathering (100 ms) after a VM that asked the store itself, and frequent changes would then keep VMs from it. Change: a relay more than 300 ms behind is left for the store; outages are reported for 5 s. Conclusion: a frozen relay is believed until this VM hears of a change elsewhere.

--- a/src/rows/table_follower.ts
+++ b/src/rows/table_follower.ts
@@ -42,6 +42,17 @@
 const MAX_RELAYED_AGE_MS = 1600;
 /** Several answers of a relay report the same outage. */
 const SAME_OUTAGE_MS = 500;
+/**
+ * A relay learns of a change later than this VM by the time in which it gathers
+ * changes (100 ms), one call to the store and one message between regions. One
+ * that is further behind was frozen and does not know it.
+ */
+const MAX_RELAY_LAG_MS = 300;
+/**
+ * Entries that lapsed in an outage are back 2 s after it; a VM hears of its end
+ * through a relay that may be asked up to 1.7 s later.
+ */
+const REPORTED_OUTAGE_MS = 5000;
 
 /**
  * Follows one table: reads it whole, then takes its changes from the feed, or
@@ -54,6 +65,8 @@
   /** Fires when the relay is lost. */
   readonly #relayLost = new ChangeNotifier();
   #version: number | undefined;
+  /** When the version last grew. */
+  #learnedAt = Number.NEGATIVE_INFINITY;
   #confirmedAt = Number.NEGATIVE_INFINITY;
   #reachable = true;
   #regainedAt = Number.NEGATIVE_INFINITY;
@@ -149,20 +162,30 @@
             value: Buffer.from(change.row.value).toString("base64"),
           }
       ),
-      ...(Number.isFinite(regainedMs) ? { regainedMs } : {}),
+      ...(regainedMs <= REPORTED_OUTAGE_MS ? { regainedMs } : {}),
     };
   }
 
   /**
-   * Takes changes from a relay. The feed is not called until `until`.
+   * Takes changes from a relay. The feed is not called until `until`, unless
+   * the relay is behind this VM.
    *
    * @param relayed - changes after the version that this VM knew
    * @param until - monotonic milliseconds by which the relay sends more
    */
   onRelayed(relayed: TableChanges, until: number): void {
-    const { table, clock } = this.#opts;
+    const { table, clock, logger } = this.#opts;
     // The table is being read again.
     if (this.#version === undefined) return;
+    const knownForMs = clock.now() - this.#learnedAt;
+    if (relayed.version < this.#version && knownForMs > MAX_RELAY_LAG_MS) {
+      logger.info(
+        { table, version: this.#version, relayed: relayed.version, knownForMs },
+        "relay is behind",
+      );
+      this.onRelayLost();
+      return;
+    }
     this.#relayedUntil = until;
     const regainedAt = clock.now() - (relayed.regainedMs ?? Infinity);
     if (regainedAt > this.#regainedAt + SAME_OUTAGE_MS) {
@@ -200,6 +223,7 @@
     const read = await store.readTable(table, signal);
     if (read.isErr()) return this.#lost(read.error, signal);
     this.#version = read.value.version;
+    this.#learnedAt = this.#opts.clock.now();
     this.#history.reset(read.value.version);
     this.#confirm();
     onSnapshot(read.value.rows);
@@ -223,7 +247,10 @@
   #apply(changes: readonly RowChange[], version: number): void {
     const known = this.#version ?? Number.NEGATIVE_INFINITY;
     const fresh = changes.filter((change) => versionOfChange(change) > known);
-    this.#version = Math.max(known, version);
+    if (version > known) {
+      this.#version = version;
+      this.#learnedAt = this.#opts.clock.now();
+    }
     if (fresh.length === 0) return;
     this.#history.add(fresh);
     this.#opts.onChanges(fresh);
--- a/tests/rows/table_follower_test.ts
+++ b/tests/rows/table_follower_test.ts
@@ -91,4 +91,62 @@
     assert.equal(seen.regained, 1);
     end.abort();
   });
+
+  // Guards against a relay that was frozen, does not know it, and keeps the VMs
+  // of its region from the feed.
+  for (
+    const { name, knownForMs, asksStore } of [
+      { name: "less than it knew long ago", knownForMs: 1000, asksStore: true },
+      { name: "less than it learned now", knownForMs: 50, asksStore: false },
+    ]
+  ) {
+    it(`${asksStore ? "leaves" : "keeps"} a relay that knows ${name}`, async () => {
+      const { store, rows, follower, end, pass } = rig();
+      store.put("t", "a", "1");
+      void follower.run(end.signal);
+      await pass(100);
+      store.put("t", "a", "2");
+      await pass(knownForMs);
+      const version = follower.version;
+      assert.ok(version !== undefined);
+      follower.onRelayed({ version: version - 1, changes: [] }, Infinity);
+      // The feed call that was under way brings this one.
+      store.put("t", "a", "3");
+      await pass(100);
+      store.put("t", "a", "4");
+      await pass(100);
+      assert.equal(rows.get("a"), asksStore ? "4" : "3");
+      end.abort();
+    });
+  }
+
+  for (
+    const { name, quietMs, reported } of [
+      { name: "reports an outage that is over", quietMs: 500, reported: true },
+      {
+        name: "does not report an outage that is long over",
+        quietMs: 10_000,
+        reported: false,
+      },
+    ]
+  ) {
+    it(`${name} to the VMs it relays to`, async () => {
+      const { store, follower, end, pass } = rig();
+      store.put("t", "a", "1");
+      void follower.run(end.signal);
+      await pass(100);
+      store.fault = "down";
+      store.put("t", "a", "2");
+      await pass(4000);
+      store.fault = "none";
+      store.put("t", "a", "3");
+      await pass(1000 + quietMs);
+      store.put("t", "a", "4");
+      await pass(100);
+      const known = follower.changesSince(follower.version ?? 0);
+      assert.ok(known !== undefined);
+      assert.equal(known.regainedMs !== undefined, reported);
+      end.abort();
+    });
+  }
 });
