feat(direct): prefer a few upstreams of the own region for each VM

Ruled out: longer idle connections alone: reports stay as old, and connections that were forgotten meanwhile fail requests. Change: rendezvous hashing gives each VM some upstreams of its region (8 VMs for each upstream, 6 at least); it looks further if none of them is good. The new tests have no counterpart in the former code; choose_upstream_test's new case shows the way beyond the preferred ones. Conclusion: small sites choose among all upstreams of their region as before.

--- a/src/direct/choose_upstream.ts
+++ b/src/direct/choose_upstream.ts
@@ -1,10 +1,11 @@
 import type { Choice } from "./choice.ts";
 import { connectionLimit } from "./connection_limit.ts";
 import type { FleetView } from "./fleet_view.ts";
+import { preferredUpstreams } from "./preferred_upstreams.ts";
 import type { Route } from "./route.ts";
 import type { Upstream } from "./upstream.ts";
 
-type Place = { failureDomain: string; region: string };
+type Place = { vm: string; failureDomain: string; region: string };
 type Query = {
   view: FleetView;
   route: Route;
@@ -34,6 +35,12 @@
 const OTHER_REGION_COST = 0.4;
 /** Cost of a failure in parts of the latency objective. */
 const FAILURE_COST = 2;
+/**
+ * The preferred upstreams are enough if one of them costs at most this part of
+ * the objective. Work that is expected to take longer is often late, since it
+ * spreads widely around its mean.
+ */
+const PREFERRED_COST = 0.6;
 /** Among upstreams that are this close, chance decides. */
 const TIE_PART = 0.1;
 /**
@@ -137,7 +144,7 @@
   const connections = connectionLimit(policy, view.vms);
   const free = warm.filter(({ load }) => load.inFlight < connections);
   if (free.length === 0) return overloaded("no connection is free", 0);
-  const best = pickBest(free.map((upstream) => rate(query, upstream)));
+  const best = pickUpstream(query, free);
   const part = view.isLessUrgent(service, query.route.priority)
     ? ADMITTED_PART_LESS_URGENT
     : ADMITTED_PART;
@@ -156,6 +163,23 @@
   };
 }
 
+/** Looks beyond the preferred upstreams only if none of them is good. */
+function pickUpstream(query: Query, free: readonly Upstream[]): Rated {
+  const { view, place, route } = query;
+  const near = free.filter(({ entry }) =>
+    view.regionOf(entry.failureDomain) === place.region
+  );
+  const preferred = preferredUpstreams(place.vm, near, {
+    upstreams: free.length,
+    vms: view.vms,
+  });
+  if (preferred.length > 0) {
+    const best = pickBest(preferred.map((upstream) => rate(query, upstream)));
+    if (best.costMs <= PREFERRED_COST * route.objectiveMs) return best;
+  }
+  return pickBest(free.map((upstream) => rate(query, upstream)));
+}
+
 function rate(query: Query, upstream: Upstream): Rated {
   const { view, place, route, workMs, now } = query;
   const { failureDomain } = upstream.entry;
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -26,7 +26,7 @@
   clock: Clock;
   logger: Logger;
   metrics: DirectMetrics;
-  place: { failureDomain: string; region: string };
+  place: { vm: string; failureDomain: string; region: string };
   /** @param key - number of the key of a request for the service */
   onKey: (service: string, key: number) => void;
   /** The owner of a request's key has changed, or cannot serve it. */
--- a/tests/direct/choose_upstream_test.ts
+++ b/tests/direct/choose_upstream_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { chooseUpstream } from "../../src/direct/choose_upstream.ts";
+import { preferredUpstreams } from "../../src/direct/preferred_upstreams.ts";
 import type { Upstream } from "../../src/direct/upstream.ts";
 import { FleetRig } from "../support/fleet_rig.ts";
 
@@ -13,7 +14,7 @@
     service: "s1",
     key: undefined,
     tried: new Set(),
-    place: { failureDomain: "a1", region: "a" },
+    place: { vm: "vm-1", failureDomain: "a1", region: "a" },
     workMs: 100,
     remainingMs: 1000,
     now: rig.clock.now(),
@@ -118,6 +119,29 @@
       },
       chosen: "well",
     },
+    {
+      // Load pattern: all upstreams that the VM prefers are busy, others of
+      // the region are not.
+      name: "looks beyond the preferred upstreams when they are busy",
+      set: (rig) => {
+        const all = Array.from(
+          { length: 40 },
+          (_, n) => rig.upstream({ id: `u-${n}` }),
+        );
+        rig.view.setVms(400);
+        const busy = preferredUpstreams("vm-1", all, {
+          upstreams: all.length,
+          vms: rig.view.vms,
+        });
+        assert.equal(busy.length, 6);
+        for (const upstream of all) {
+          if (upstream.entry.id !== "u-7") load(upstream, 5);
+        }
+        assert.ok(!busy.some(({ entry }) => entry.id === "u-7"));
+        return undefined;
+      },
+      chosen: "u-7",
+    },
     {
       name: "does not send to an upstream twice",
       set: (rig) => {
--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -64,7 +64,7 @@
     clock: rig.clock,
     logger: silentLogger(),
     metrics: new DirectMetrics(),
-    place: { failureDomain: "a1", region: "a" },
+    place: { vm: "vm-1", failureDomain: "a1", region: "a" },
     onKey: () => undefined,
     onOwnersDoubted,
   });
