refactor(vms,regions): split store contact and coordinator lease by concern

Ruled out: nothing; no behaviour is meant to change. Change: WitnessRecord, WitnessPromises and WitnessRows out of StoreContact; LeaseRowReader, LeaseObservation and LeaseAttempts out of CoordinatorLease.

--- a/src/regions/coordinator_lease.ts
+++ b/src/regions/coordinator_lease.ts
@@ -5,7 +5,6 @@
 import type { Logger } from "../base/logger.ts";
 import type { TableError } from "../contracts/table_error.ts";
 import type { TableOutcome } from "../contracts/table_outcome.ts";
-import type { TableRow } from "../contracts/table_row.ts";
 import type { TableService } from "../contracts/table_service.ts";
 import type { TableTransaction } from "../contracts/table_transaction.ts";
 import type { CoordinatorView } from "../vms/coordinator_view.ts";
@@ -18,19 +17,13 @@
 import { waitForChange } from "../vms/wait_for_change.ts";
 import { withTimeout } from "../vms/with_timeout.ts";
 import type { CoordinatorLeaseView } from "./coordinator_lease_view.ts";
-import { CoordinatorRow } from "./coordinator_row.ts";
+import type { CoordinatorRow } from "./coordinator_row.ts";
+import { LeaseAttempts } from "./lease_attempts.ts";
+import { LeaseObservation } from "./lease_observation.ts";
+import type { LeaseRead } from "./lease_read.ts";
+import { LeaseRowReader } from "./lease_row_reader.ts";
 
-type WitnessSet = ReturnType<StoreContact["expectWitnesses"]>;
-
-/** A write whose outcome may still be open. */
-type Attempt = {
-  row: CoordinatorRow;
-  writeId: string;
-  sentAt: number;
-  /** Revision of the lease row that the write requires. */
-  required: number;
-  set: WitnessSet;
-};
+type Attempt = ReturnType<LeaseAttempts["prepare"]>;
 
 type Lease = {
   epoch: number;
@@ -41,14 +34,6 @@
   row: CoordinatorRow;
 };
 
-type Read = {
-  sentAt: number;
-  receivedAt: number;
-  revision: number;
-  /** Undefined when the row is absent. */
-  row: CoordinatorRow | undefined;
-};
-
 /**
  * The coordinator lease of the router's region, see the design page, sections
  * 6.1 and 7.
@@ -79,12 +64,9 @@
   readonly #key: string;
 
   #lease: Lease | undefined;
-  /** Takeovers and renewals without an answer, oldest first. */
-  #open: Attempt[] = [];
-  #sets: WitnessSet[] = [];
-  #observed:
-    | { revision: number; firstAt: number; lastAt: number }
-    | undefined;
+  readonly #attempts: LeaseAttempts;
+  readonly #observation: LeaseObservation;
+  readonly #reader: LeaseRowReader;
   #stopped = false;
   #notifiedEpoch: number | undefined;
   #queue: Promise<unknown> = Promise.resolve();
@@ -125,6 +107,13 @@
     this.#coordinators = options.coordinators;
     this.#vmList = options.vmList;
     this.#key = `coordinators/${options.self.region}`;
+    this.#attempts = new LeaseAttempts(options);
+    this.#observation = new LeaseObservation(options.ttlMs);
+    this.#reader = new LeaseRowReader({
+      ...options,
+      key: this.#key,
+      timeoutMs: this.#attemptMs,
+    });
   }
 
   held(): { epoch: number; since: number; revision: number } | undefined {
@@ -214,7 +203,7 @@
           this.#coordinators.adopt(outcome.value.revision, row);
           this.#drop("released");
         } else {
-          this.#settle(this.#readOf(outcome.value.conflicts));
+          this.#settle(this.#reader.take(outcome.value.conflicts));
         }
       }
     });
@@ -228,9 +217,9 @@
 
   /** When a read may show that the holder has stopped renewing. */
   #observationEndsAt(): number {
-    const at = (this.#observed?.firstAt ?? 0) + this.#ttlMs;
-    return this.#lease === undefined && at > this.#clock.now()
-      ? at
+    const { endsAt } = this.#observation;
+    return this.#lease === undefined && endsAt > this.#clock.now()
+      ? endsAt
       : Number.POSITIVE_INFINITY;
   }
 
@@ -266,14 +255,14 @@
       await this.#renew(this.#lease, signal);
       return;
     }
-    if (this.#open.length === 0 && !this.#mayBecomeCandidate()) {
-      this.#observed = undefined;
+    if (!this.#attempts.pending && !this.#mayBecomeCandidate()) {
+      this.#observation.reset();
       return;
     }
-    const read = await this.#read(signal);
+    const read = await this.#reader.read(signal);
     if (read === undefined) return;
     this.#settle(read);
-    this.#observe(read);
+    this.#observation.add(read);
     if (this.#mayTakeOver(read)) await this.#takeOver(read, signal);
   }
 
@@ -287,75 +276,19 @@
       this.#isHolderGone(row);
   }
 
-  async #read(signal: AbortSignal): Promise<Read | undefined> {
-    const sentAt = this.#clock.now();
-    const result = await withTimeout(
-      { clock: this.#clock, ms: this.#attemptMs },
-      signal,
-      (limited) =>
-        this.#table.readRows({ prefix: this.#key, since: 0 }, limited),
-    );
-    if (result.isErr()) return undefined;
-    const found = result.value.rows.find((row) => row.key === this.#key) ??
-      { key: this.#key, revision: 0, value: null };
-    return this.#readOf([found], sentAt);
-  }
-
-  /** Returns undefined when the lease row is not among the rows or unreadable. */
-  #readOf(
-    rows: readonly TableRow[],
-    sentAt = this.#clock.now(),
-  ): Read | undefined {
-    const found = rows.find((row) => row.key === this.#key);
-    if (found === undefined) return undefined;
-    const times = { sentAt, receivedAt: this.#clock.now() };
-    if (found.value === null || found.value === undefined) {
-      return { ...times, revision: 0, row: undefined };
-    }
-    const parsed = CoordinatorRow.safeParse(found.value);
-    if (!parsed.success) {
-      this.#logger.warn(
-        { row: this.#key, revision: found.revision },
-        "the lease row does not match its schema",
-      );
-      return undefined;
-    }
-    this.#coordinators.adopt(found.revision, parsed.data);
-    return { ...times, revision: found.revision, row: parsed.data };
-  }
-
-  #observe(read: Read): void {
-    const last = this.#observed;
-    if (
-      last?.revision !== read.revision ||
-      // After a gap the holder, too, may just have regained the store.
-      read.receivedAt - last.lastAt > this.#ttlMs
-    ) {
-      this.#observed = {
-        revision: read.revision,
-        firstAt: read.receivedAt,
-        lastAt: read.receivedAt,
-      };
-    } else {
-      last.lastAt = read.receivedAt;
-    }
-  }
-
-  #mayTakeOver(read: Read): boolean {
+  #mayTakeOver(read: LeaseRead): boolean {
     if (
       this.#lease !== undefined || this.#registration.revision === undefined ||
       this.#contact.mode() !== "current" || !this.#contact.mayActOnStore()
     ) return false;
     const { row } = read;
     if (row === undefined || this.#isFree(row)) return true;
-    const observed = this.#observed;
-    if (
-      observed === undefined || read.sentAt < observed.firstAt + this.#ttlMs
-    ) return false;
+    if (!this.#observation.isExpired(read)) return false;
     if (this.#isNamed(row)) return true;
     // Member rows that were read before the holder's lease row may lack the
     // holder's registration.
-    return (this.#poller.lastSentAt ?? -1) >= observed.firstAt &&
+    return (this.#poller.lastSentAt ?? -1) >=
+        (this.#observation.since ?? Infinity) &&
       this.#isHolderGone(row);
   }
 
@@ -372,10 +305,10 @@
       this.#vmList.goneSince(row.vm) !== undefined;
   }
 
-  async #takeOver(read: Read, signal: AbortSignal): Promise<void> {
+  async #takeOver(read: LeaseRead, signal: AbortSignal): Promise<void> {
     const registration = this.#registration.revision;
     if (registration === undefined) return;
-    const attempt = this.#prepare({
+    const attempt = this.#attempts.prepare({
       required: read.revision,
       epoch: (read.row?.epoch ?? 0) + 1,
       beat: 0,
@@ -393,13 +326,13 @@
       writes: [{ key: this.#key, value: attempt.row }],
     }, signal);
     this.#finish(attempt, outcome);
-    if (this.#lease === undefined && this.#open.length > 0) {
-      this.#settle(await this.#read(signal));
+    if (this.#lease === undefined && this.#attempts.pending) {
+      this.#settle(await this.#reader.read(signal));
     }
   }
 
   async #renew(lease: Lease, signal: AbortSignal): Promise<void> {
-    const attempt = this.#prepare({
+    const attempt = this.#attempts.prepare({
       required: lease.revision,
       epoch: lease.epoch,
       beat: lease.row.beat + 1,
@@ -410,68 +343,38 @@
     }, signal);
     this.#finish(attempt, outcome);
     if (outcome.isErr() && outcome.error.kind === "unknown") {
-      this.#settle(await this.#read(signal));
+      this.#settle(await this.#reader.read(signal));
     }
   }
 
-  #prepare(
-    next: { required: number; epoch: number; beat: number },
-  ): Attempt {
-    const witnesses = this.#contact.witnesses();
-    const writeId = randomUUID();
-    const set = this.#contact.expectWitnesses("lease", witnesses);
-    this.#sets.push(set);
-    const attempt: Attempt = {
-      row: {
-        schema: 1,
-        region: this.#self.region,
-        vm: this.#self.vm,
-        incarnation: this.#self.incarnation,
-        peerUrl: this.#self.peerUrl,
-        epoch: next.epoch,
-        beat: next.beat,
-        witnesses: Object.keys(witnesses),
-        witnessIncarnations: witnesses,
-        writeId,
-      },
-      writeId,
-      sentAt: this.#clock.now(),
-      required: next.required,
-      set,
-    };
-    this.#open.push(attempt);
-    return attempt;
-  }
-
   #finish(
     attempt: Attempt,
     outcome: Result<TableOutcome, TableError>,
   ): void {
     if (outcome.isErr()) {
-      if (outcome.error.kind === "unavailable") this.#withdraw(attempt);
+      if (outcome.error.kind === "unavailable") {
+        this.#attempts.withdraw(attempt);
+      }
       return;
     }
     if (outcome.value.committed) {
       this.#won(attempt, outcome.value.revision);
       return;
     }
-    this.#withdraw(attempt);
-    this.#settle(this.#readOf(outcome.value.conflicts));
+    this.#attempts.withdraw(attempt);
+    this.#settle(this.#reader.take(outcome.value.conflicts));
   }
 
   /** Draws conclusions for open attempts from the present row. */
-  #settle(read: Read | undefined): void {
+  #settle(read: LeaseRead | undefined): void {
     if (read === undefined) return;
     const { row, revision } = read;
-    const won = this.#open.find((attempt) => attempt.writeId === row?.writeId);
+    const won = this.#attempts.find(row);
     if (won !== undefined) {
       this.#won(won, revision);
       return;
     }
-    // Only a changed row rules out that an attempt still takes effect.
-    for (const attempt of this.#open) {
-      if (attempt.required !== revision) this.#withdraw(attempt);
-    }
+    this.#attempts.withdrawOutdated(revision);
     const lease = this.#lease;
     if (lease === undefined || lease.revision === revision) return;
     this.#logger.warn(
@@ -498,31 +401,14 @@
       revision,
       row,
     };
-    // Every other attempt required a revision that has passed.
-    for (const other of this.#open) {
-      if (other !== attempt) other.set.withdraw();
-    }
-    this.#open = [];
-    this.#sets = [attempt.set];
-    attempt.set.confirm();
-    this.#contact.claimEpoch(0);
-  }
-
-  #withdraw(attempt: Attempt): void {
-    attempt.set.withdraw();
-    this.#sets = this.#sets.filter((set) => set !== attempt.set);
-    this.#open = this.#open.filter((other) => other !== attempt);
-    if (this.#open.length === 0) this.#contact.claimEpoch(0);
+    this.#attempts.onWon(attempt);
   }
 
   #drop(reason: string): void {
-    for (const set of this.#sets) set.withdraw();
-    this.#sets = [];
-    this.#open = [];
     this.#lease = undefined;
-    this.#observed = undefined;
+    this.#observation.reset();
     this.#logger.info({ region: this.#self.region, reason }, "lease ended");
-    this.#contact.claimEpoch(0);
+    this.#attempts.clear();
     this.#notifyChange();
   }
 }
--- a/src/vms/store_contact.ts
+++ b/src/vms/store_contact.ts
@@ -3,7 +3,6 @@
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
 import type { CatalogueView } from "../catalogue/catalogue_view.ts";
-import type { TableRow } from "../contracts/table_row.ts";
 import type { RpcHandler } from "../links/rpc_handler.ts";
 import type { AssignmentView } from "../shards/assignment_view.ts";
 import type { CatalogueStatus } from "./catalogue_status.ts";
@@ -13,17 +12,16 @@
 import type { MemberRow } from "./member_row.ts";
 import type { MemberView } from "./member_view.ts";
 import type { PeerClient } from "./peer_client.ts";
-import { RowsResult } from "./rows_result.ts";
 import type { StoreContactView } from "./store_contact_view.ts";
 import type { StoreMode } from "./store_mode.ts";
 import type { StorePoller } from "./store_poller.ts";
 import type { VmListPoller } from "./vm_list_poller.ts";
 import { waitForChange } from "./wait_for_change.ts";
 import { WitnessAnswer } from "./witness_answer.ts";
+import { WitnessPromises } from "./witness_promises.ts";
+import { WitnessRecord } from "./witness_record.ts";
+import { WitnessRows } from "./witness_rows.ts";
 
-const CATALOGUE_KEY = "catalogue/current";
-const MAX_ROWS_PER_REQUEST = 64;
-const ROWS_TIMEOUT_MS = 1000;
 const LEAVING_TIMEOUT_MS = 1000;
 // Witnesses notice an outage up to one poll interval later than the router that
 // asks them. In that time it asks more often, so that all have promised before
@@ -32,31 +30,6 @@
 
 const AskParams = z.looseObject({ vm: z.string(), incarnation: z.string() });
 const VersionParams = z.looseObject({ version: z.int().nonnegative() });
-const RowsParams = z.looseObject({
-  keys: z.array(z.string()).max(MAX_ROWS_PER_REQUEST),
-});
-
-/** Witnesses that a row in the store names, or may name. */
-type WitnessSet = {
-  source: "member" | "lease";
-  /** Incarnation by VM id. */
-  witnesses: Readonly<Record<string, string>>;
-  /** When a newer set of the same source was confirmed. */
-  retiredAt?: number;
-};
-
-/** What one witness said. */
-type Heard = {
-  askedAt: number;
-  /** End of the last promise on this router's clock. */
-  promisedUntil: number | undefined;
-  version: number;
-  epoch: number;
-};
-
-/** A promise that this router gave as a witness. */
-type Promised = { until: number; version: number };
-
 /**
  * Decides from store polls and witnesses whether this router may go on, and
  * answers other routers that ask it as their witness.
@@ -92,11 +65,9 @@
 
   /** Notifies when an answer, a farewell or a witness set arrived. */
   readonly #input = new ChangeNotifier();
-  #sets: WitnessSet[] = [];
-  readonly #heard = new Map<string, Heard>();
-  readonly #farewells = new Map<string, MemberLeaving>();
-  readonly #fetching = new Map<string, Promise<void>>();
-  #promised: Promised[] = [];
+  readonly #record: WitnessRecord;
+  readonly #promises: WitnessPromises;
+  readonly #rows: WitnessRows;
   #claimedEpoch = 0;
   #registeredAt: number | undefined;
   /** Version that was confirmable when this router began to leave. */
@@ -139,6 +110,14 @@
     this.#views = options.views;
     this.#peers = options.peers;
     this.#vmList = options.vmList;
+    const { views, clock, poller, vmList } = options;
+    this.#record = new WitnessRecord({
+      members: views.members,
+      poller,
+      vmList,
+    });
+    this.#promises = new WitnessPromises(clock);
+    this.#rows = new WitnessRows({ ...options, ...views });
   }
 
   mode(): StoreMode {
@@ -173,7 +152,7 @@
    */
   mayActOnStore(): boolean {
     return this.#leftAtVersion === undefined &&
-      this.#promisesInForce().length === 0;
+      !this.#promises.bound;
   }
 
   /**
@@ -184,7 +163,7 @@
     return Math.min(
       this.#views.catalogue.version,
       this.#leftAtVersion ?? Number.POSITIVE_INFINITY,
-      ...this.#promisesInForce().map((promise) => promise.version),
+      this.#promises.lowestVersion,
     );
   }
 
@@ -220,7 +199,7 @@
     return chooseWitnesses(
       this.#self,
       this.#views.members.all().filter((row) =>
-        this.#farewells.get(row.vm)?.incarnation !== row.incarnation &&
+        !this.#record.hasLeft(row.vm, row.incarnation) &&
         this.#vmList.goneSince(row.vm) === undefined
       ),
     );
@@ -239,21 +218,14 @@
     source: "member" | "lease",
     witnesses: Readonly<Record<string, string>>,
   ): { confirm(): void; withdraw(): void } {
-    this.#forgetRetired();
-    const set: WitnessSet = { source, witnesses };
-    this.#sets.push(set);
+    const set = this.#record.expect(source, witnesses);
     return {
       confirm: () => {
-        const now = this.#clock.now();
-        for (const other of this.#sets) {
-          if (other !== set && other.source === source) {
-            other.retiredAt ??= now;
-          }
-        }
+        set.confirm(this.#clock.now());
         this.#input.notify();
       },
       withdraw: () => {
-        this.#sets = this.#sets.filter((other) => other !== set);
+        set.withdraw();
         this.#input.notify();
       },
     };
@@ -301,12 +273,7 @@
         params: AskParams,
         handle: () => Promise.resolve(this.#answerAsWitness()),
       },
-      {
-        method: "rows.get",
-        params: RowsParams,
-        handle: (params) =>
-          Promise.resolve(this.#rows(RowsParams.parse(params).keys)),
-      },
+      this.#rows.handler,
       {
         method: "catalogue.changed",
         params: VersionParams,
@@ -327,14 +294,7 @@
         method: "member.leaving",
         params: MemberLeaving,
         handle: (params) => {
-          const farewell = MemberLeaving.parse(params);
-          // Routers without a member row are not asked anyway.
-          for (const vm of this.#farewells.keys()) {
-            if (this.#views.members.get(vm) === undefined) {
-              this.#farewells.delete(vm);
-            }
-          }
-          this.#farewells.set(farewell.vm, farewell);
+          this.#record.onLeaving(MemberLeaving.parse(params));
           this.farewell.notify();
           this.#input.notify();
           return Promise.resolve({});
@@ -362,7 +322,7 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     await Promise.all([this.#askWitnesses(signal), this.#watchMode(signal)]);
-    await Promise.all(this.#fetching.values());
+    await this.#rows.ended();
   }
 
   async #askWitnesses(signal: AbortSignal): Promise<void> {
@@ -374,7 +334,7 @@
       if (this.#reachesStore()) {
         ms = this.#poller.overdueAt - this.#clock.now();
         notifiers.push(this.#poller.failed);
-        this.#forgetAnswers();
+        this.#record.forgetAnswers(this.#clock.now());
       } else if (mode !== "starting") {
         if (mode === "current" && this.#coverage() === undefined) {
           ms = EARLY_ASK_MS;
@@ -417,14 +377,14 @@
     const now = this.#clock.now();
     const ends = [
       (this.#poller.lastSentAt ?? now) + this.#timing.storeContactMs,
-      ...[...this.#heard.values()].map((heard) => heard.promisedUntil ?? 0),
+      ...this.#record.promiseEnds(),
     ].filter((end) => end > now);
     return Math.min(now + this.#timing.storeContactMs, ...ends);
   }
 
   async #askAll(signal: AbortSignal): Promise<void> {
     await Promise.all(
-      [...this.#namedWitnesses().keys()].map((vm) => this.#ask(vm, signal)),
+      [...this.#record.named().keys()].map((vm) => this.#ask(vm, signal)),
     );
   }
 
@@ -445,126 +405,15 @@
     }, signal);
     if (result.isErr()) return;
     const answer = result.value;
-    const known = this.#heard.get(vm);
-    if (known !== undefined && known.askedAt > askedAt) return;
-    this.#heard.set(vm, {
-      askedAt,
-      // The witness counts from its answer, which is later. A refusal does not
-      // end an earlier promise.
-      promisedUntil: answer.kind === "unreachable"
-        ? askedAt + answer.promiseMs
-        : known?.promisedUntil,
-      version: Math.max(known?.version ?? 0, answer.catalogueVersion),
-      epoch: answer.coordinatorEpoch,
-    });
-    if (answer.kind === "unreachable") this.#fetchNewer(row, answer, signal);
-    this.#input.notify();
-  }
-
-  #fetchNewer(
-    witness: MemberRow,
-    answer: Extract<WitnessAnswer, { kind: "unreachable" }>,
-    signal: AbortSignal,
-  ): void {
-    const keys = Object.entries(answer.revisions)
-      .filter(([key, revision]) => revision > this.#assignmentRevision(key))
-      .map(([key]) => key);
-    if (answer.catalogueVersion > this.#views.catalogue.version) {
-      keys.unshift(CATALOGUE_KEY);
+    if (!this.#record.onAnswer(vm, askedAt, answer)) return;
+    if (answer.kind === "unreachable") {
+      this.#rows.fetchNewer(row, answer, signal);
     }
-    if (keys.length === 0 || this.#fetching.has(witness.vm)) return;
-    const fetch = this.#fetch(witness, keys, signal)
-      .finally(() => this.#fetching.delete(witness.vm));
-    this.#fetching.set(witness.vm, fetch);
-  }
-
-  async #fetch(
-    witness: MemberRow,
-    keys: readonly string[],
-    signal: AbortSignal,
-  ): Promise<void> {
-    // One row a call, because an answer holds at most 1 MiB.
-    for (const key of keys) {
-      const result = await this.#peers.call({
-        peerUrl: witness.peerUrl,
-        method: "rows.get",
-        params: { keys: [key] },
-        result: RowsResult,
-        timeoutMs: ROWS_TIMEOUT_MS,
-      }, signal);
-      if (result.isErr()) {
-        this.#logger.warn(
-          { witness: witness.vm, row: key, error: result.error },
-          "cannot read a newer row from a witness",
-        );
-        return;
-      }
-      for (const row of result.value.rows) {
-        if (row.key === key) this.#poller.adopt(row);
-      }
-    }
-  }
-
-  /**
-   * @returns undefined unless every witness is bound by a promise or excluded;
-   * otherwise the highest catalogue version and coordinator epoch among them
-   */
-  #coverage(): { version: number; epoch: number } | undefined {
-    const now = this.#clock.now();
-    // Whoever reads a row without witnesses concludes that there is no outage.
-    const isWithout = this.#sets.some(({ witnesses }) =>
-      Object.keys(witnesses).length === 0
-    );
-    if (isWithout) return undefined;
-    let bound = 0;
-    let version = 0;
-    let epoch = 0;
-    for (const [vm, incarnations] of this.#namedWitnesses()) {
-      const farewell = this.#farewells.get(vm);
-      if (
-        farewell !== undefined &&
-        [...incarnations].every((one) => one === farewell.incarnation)
-      ) {
-        version = Math.max(version, farewell.catalogueVersion);
-        epoch = Math.max(epoch, farewell.coordinatorEpoch);
-        continue;
-      }
-      const heard = this.#heard.get(vm);
-      version = Math.max(version, heard?.version ?? 0);
-      epoch = Math.max(epoch, heard?.epoch ?? 0);
-      if (heard?.promisedUntil !== undefined && heard.promisedUntil > now) {
-        bound += 1;
-      } else if (!this.#isSafelyGone(vm, heard)) return undefined;
-    }
-    return bound > 0 ? { version, epoch } : undefined;
-  }
-
-  /**
-   * A VM that is gone may have acted on the store between the end of its last
-   * promise and its loss. It is left out only when the list showed its loss
-   * while the promise held, or when the store was read after its loss.
-   */
-  #isSafelyGone(vm: string, heard: Heard | undefined): boolean {
-    const goneSince = this.#vmList.goneSince(vm);
-    if (goneSince === undefined) return false;
-    return (this.#poller.lastSentAt ?? -1) >= goneSince ||
-      (heard?.promisedUntil ?? -1) >= goneSince;
+    this.#input.notify();
   }
 
-  /** Witnesses that rows may name, without processes known to have ended. */
-  #namedWitnesses(): Map<string, Set<string>> {
-    this.#forgetRetired();
-    const named = new Map<string, Set<string>>();
-    for (const { witnesses } of this.#sets) {
-      for (const [vm, incarnation] of Object.entries(witnesses)) {
-        // A process ends before its row is removed or replaced, and the poll
-        // that showed this has read everything that it wrote.
-        if (this.#views.members.get(vm)?.incarnation !== incarnation) continue;
-        const incarnations = named.get(vm) ?? new Set();
-        named.set(vm, incarnations.add(incarnation));
-      }
-    }
-    return named;
+  #coverage(): ReturnType<WitnessRecord["coverage"]> {
+    return this.#record.coverage(this.#clock.now());
   }
 
   #reachesStore(): boolean {
@@ -572,24 +421,6 @@
       this.#clock.now() < this.#poller.overdueAt;
   }
 
-  /** With contact, own polls have read what past answers told. */
-  #forgetAnswers(): void {
-    for (const [vm, heard] of this.#heard) {
-      if ((heard.promisedUntil ?? 0) <= this.#clock.now()) {
-        this.#heard.delete(vm);
-      }
-    }
-  }
-
-  #forgetRetired(): void {
-    const lastSentAt = this.#poller.lastSentAt ?? -1;
-    // Whoever read a row before it was replaced may still go by it, so its
-    // witnesses count until a later poll has shown what was written by then.
-    this.#sets = this.#sets.filter((set) =>
-      set.retiredAt === undefined || set.retiredAt >= lastSentAt
-    );
-  }
-
   #answerAsWitness(): WitnessAnswer {
     const known = {
       incarnation: this.#self.incarnation,
@@ -599,21 +430,15 @@
     if (!this.#hasReadSinceRegistration() || this.#reachesStore()) {
       return { kind: "refused", ...known };
     }
-    this.#promised = this.#promisesInForce();
-    this.#promised.push({
-      until: this.#clock.now() + this.#timing.witnessPromiseMs,
-      version: known.catalogueVersion,
-    });
+    this.#promises.give(
+      this.#timing.witnessPromiseMs,
+      known.catalogueVersion,
+    );
     return {
       kind: "unreachable",
       promiseMs: this.#timing.witnessPromiseMs,
       ...known,
-      revisions: Object.fromEntries(
-        this.#views.assignments.all().map(({ revision, row }) => [
-          `assignments/${row.region}/${row.service}`,
-          revision,
-        ]),
-      ),
+      revisions: this.#rows.revisions(),
     };
   }
 
@@ -622,38 +447,7 @@
       (this.#poller.lastSentAt ?? -1) >= this.#registeredAt;
   }
 
-  #promisesInForce(): Promised[] {
-    const now = this.#clock.now();
-    return this.#promised.filter((promise) => promise.until > now);
-  }
-
   #pollIfOlder(version: number): void {
     if (version > this.#views.catalogue.version) this.#poller.pollNow();
   }
-
-  #assignmentRevision(key: string): number {
-    const [, region, service] = key.split("/");
-    return this.#views.assignments.get(region ?? "", service ?? "")
-      ?.revision ?? 0;
-  }
-
-  #rows(keys: readonly string[]): RowsResult {
-    const rows: TableRow[] = [];
-    for (const key of keys) {
-      if (key === CATALOGUE_KEY) {
-        const value = this.#views.catalogue.current;
-        const revision = this.#poller.revisionOf(key);
-        if (value !== undefined && revision > 0) {
-          rows.push({ key, revision, value });
-        }
-      } else if (key.startsWith("assignments/")) {
-        const [, region, service] = key.split("/");
-        const held = this.#views.assignments.get(region ?? "", service ?? "");
-        if (held !== undefined) {
-          rows.push({ key, revision: held.revision, value: held.row });
-        }
-      }
-    }
-    return { rows };
-  }
 }
