refactor(upstreams): split requests in flight and releases out of the dispatcher

Cause: one file of 754 lines held admission, requests in flight, releases and limits. Ruled out: nothing; no behaviour is meant to change. Change: RunningJobs and ReleaseProgress.

--- a/src/upstreams/dispatcher.ts
+++ b/src/upstreams/dispatcher.ts
@@ -22,6 +22,8 @@
 import { OwnedUnits } from "./owned_units.ts";
 import { RateMeter } from "./rate_meter.ts";
 import { refused } from "./refused.ts";
+import { ReleaseProgress } from "./release_progress.ts";
+import { RunningJobs } from "./running_jobs.ts";
 import { ServiceTimeEstimate } from "./service_time_estimate.ts";
 import { UpstreamCondition } from "./upstream_condition.ts";
 import { UpstreamConnections } from "./upstream_connections.ts";
@@ -80,7 +82,8 @@
   readonly #options: Omit<Options, "predecessor">;
   readonly #clock: Clock;
   readonly #queue = new DispatchQueue<DispatchJob>();
-  readonly #running = new Set<DispatchJob>();
+  readonly #running: RunningJobs;
+  readonly #releases: ReleaseProgress;
   readonly #condition: UpstreamCondition;
   readonly #rate: RateMeter;
   readonly #hotKeys: HotKeySketch;
@@ -92,13 +95,10 @@
   readonly #tenure = new AbortController();
   /** Ends connections and timers, after the last request. */
   readonly #end = new AbortController();
-  #predecessor: Dispatcher | undefined;
   /** Lets the next tenure go on after a request of this one. */
   #afterRequest: () => void = () => undefined;
   #mode: Mode = "live";
   #drainingSince: number | undefined;
-  #grantedUnits = "";
-  #announced = "";
 
   /**
    * Starts the tenure.
@@ -113,11 +113,14 @@
     this.owned = predecessor?.epoch === options.epoch
       ? predecessor.owned
       : new OwnedUnits(options);
+    this.#running = new RunningJobs(
+      predecessor === undefined ? undefined : predecessor.#running,
+    );
     this.#condition = new UpstreamCondition({
       ...options,
       healthPollMs: timing.healthPollMs,
       active: () => this.accepting,
-      unansweredSince: () => this.#unansweredSince(),
+      unansweredSince: () => this.#running.unansweredSince(),
       onAnswer: () => this.#giveUpSilent(),
       onChange: () => this.#onStateChange(),
       onRestart: () => this.#keeper?.forgetClock(),
@@ -151,16 +154,22 @@
       onSuperseded: options.onSuperseded,
       onChange: () => {
         this.#checkReleases();
-        this.#announceReleased();
+        this.#releases.announce();
         this.#pump();
       },
     });
+    this.#releases = new ReleaseProgress({
+      owned: this.owned,
+      running: this.#running,
+      abandoned: this.#abandoned,
+      keeper: this.#keeper,
+      onChange: options.onChange,
+    });
     this.#timer = new DueTimer({
       clock,
       signal: this.#end.signal,
       onDue: () => this.#onDue(),
     });
-    this.#predecessor = predecessor;
     if (predecessor !== undefined) {
       predecessor.#afterRequest = () => this.#onRequestEnded();
     }
@@ -187,7 +196,8 @@
    * @returns whether the tenure is handed over and its last request has ended
    */
   get drained(): boolean {
-    return this.#mode === "draining" && this.#atUpstream().length === 0;
+    return this.#mode === "draining" &&
+      this.#running.atUpstream().length === 0;
   }
 
   /**
@@ -297,10 +307,11 @@
    */
   takeReleased(): RenewReport["released"] {
     const { service, upstream } = this.#options;
-    return this.#released().map(({ unit }) => {
-      this.owned.markReported(unit);
-      return { service, upstream, unit, readyInMs: this.#readyInMs(unit) };
-    });
+    return this.#releases.takeReleased().map((ready) => ({
+      service,
+      upstream,
+      ...ready,
+    }));
   }
 
   /**
@@ -356,9 +367,7 @@
 
   readonly #abort = (): void => {
     this.stop();
-    for (const job of this.#running) {
-      job.exchange?.abandon(new AttemptAbandoned("stopped"));
-    }
+    this.#running.abandonAll("stopped");
     this.#end.abort();
   };
 
@@ -383,15 +392,8 @@
    */
   #serviceMs(): number {
     const median = this.#condition.estimate.median();
-    const now = this.#clock.now();
-    let stuck = Infinity;
-    for (const { progress } of this.#running) {
-      stuck = Math.min(stuck, progress.kind === "sent" ? now - progress.at : 0);
-    }
-    return this.#running.size < this.#slots() ? median : Math.max(
-      median,
-      stuck,
-    );
+    if (this.#running.size < this.#slots()) return median;
+    return Math.max(median, this.#running.stuckMs(this.#clock.now()));
   }
 
   #refuseNow(
@@ -458,7 +460,7 @@
 
   #mayStart(): boolean {
     const median = this.#condition.estimate.median();
-    const running = this.#atUpstream().length;
+    const running = this.#running.atUpstream().length;
     if (running >= this.#slots()) return false;
     if (!this.#condition.warmUp.isCold(median)) return true;
     // A request that was given up may still use a cold upstream.
@@ -564,27 +566,12 @@
     this.#pump();
   }
 
-  /** When the oldest request without an answer byte was sent. */
-  #unansweredSince(): number | undefined {
-    let oldest: number | undefined;
-    for (const { progress } of this.#running) {
-      if (progress.kind !== "sent") continue;
-      oldest = Math.min(oldest ?? Infinity, progress.at);
-    }
-    return oldest;
-  }
-
   /** Closes connections that are silent while the upstream answers others. */
   #giveUpSilent(): void {
-    const now = this.#clock.now();
-    const { silenceMs } = this.#condition;
-    for (const job of this.#running) {
-      const { progress } = job;
-      if (progress.kind !== "sent" || now - progress.at < silenceMs) continue;
-      if (!this.#condition.answeredOthersSince(progress.at)) continue;
-      this.#condition.estimate.add(now - progress.at);
-      job.exchange?.abandon(new AttemptAbandoned("silent"));
-    }
+    this.#running.abandonSilent(this.#condition.silenceMs, {
+      isSilent: (sentAt) => this.#condition.answeredOthersSince(sentAt),
+      onGivenUp: (waitedMs) => this.#condition.estimate.add(waitedMs),
+    }, this.#clock.now());
   }
 
   #onEnded(job: DispatchJob, err: Error | undefined): void {
@@ -613,15 +600,6 @@
     if (this.drained) this.#options.onChange();
   }
 
-  /** Requests at the upstream, with those of earlier tenures. */
-  #atUpstream(): DispatchJob[] {
-    const before = this.#predecessor === undefined
-      ? []
-      : this.#predecessor.#atUpstream();
-    if (before.length === 0) this.#predecessor = undefined;
-    return [...before, ...this.#running];
-  }
-
   #unitsChanged(): void {
     for (const job of this.#queue.items()) {
       if (job.req.digest === undefined) continue;
@@ -632,96 +610,35 @@
       "not_owner",
     );
     this.#checkReleases();
-    this.#regrant();
+    this.#releases.regrant();
     this.#pump();
   }
 
-  #regrant(): void {
-    if (this.#keeper === undefined) return;
-    const units = this.owned.granted().join();
-    if (units === this.#grantedUnits) return;
-    this.#grantedUnits = units;
-    this.#keeper.changed();
-  }
-
-  /** Marks releases as drained, and cuts what has taken too long. */
   #checkReleases(): void {
     // A later tenure of the same epoch shares the releases and decides.
     if (this.#mode === "stopped") return;
-    const now = this.#clock.now();
     const { maxRunMs } = this.#options.cfg();
-    let drained = false;
-    for (const release of this.owned.releases()) {
-      if (release.drained) continue;
-      const jobs = this.#atUpstream().filter((job) =>
-        job.concerns(release.unit)
-      );
-      if (jobs.length === 0) {
-        this.owned.markDrained(release.unit);
-        drained = true;
-      } else if (this.#condition.lost || now >= release.since + maxRunMs) {
-        for (const job of jobs) {
-          job.exchange?.abandon(new AttemptAbandoned("handed_over"));
-        }
-      } else this.#timer.set(release.since + maxRunMs);
-    }
-    if (!drained) return;
-    this.#regrant();
-    this.#announceReleased();
-  }
-
-  /** Tells the coordinator at once when another unit can move. */
-  #announceReleased(): void {
-    const ready = this.#released().map(({ unit }) =>
-      this.#readyInMs(unit) === 0 ? `${unit} now` : unit
-    ).join();
-    if (ready === this.#announced) return;
-    this.#announced = ready;
-    if (ready !== "") this.#options.onChange();
-  }
-
-  /** Units that are drained and that the upstream was told to serve no more. */
-  #released(): { unit: Unit }[] {
-    return this.owned.releases().filter(({ unit, drained }) =>
-      drained && this.#keeper?.triedWithout(unit) !== false
-    );
-  }
-
-  /** Time until nothing at the upstream can serve a released unit any more. */
-  #readyInMs(unit: Unit): number {
-    const granted = this.#keeper?.remainingMs(unit) ?? 0;
-    // An upstream that checks grants checks again before a request takes
-    // effect. That does not help with a key that leaves a shard, because the
-    // requests name the shard, which stays granted.
-    const running = this.#abandoned.remainingMs((run) =>
-      run.unit === unit
-        ? this.#keeper === undefined
-        : `pin:${run.digest}` === unit
+    const { lost } = this.#condition;
+    this.#timer.set(
+      this.#releases.check({ lost, maxRunMs }, this.#clock.now()),
     );
-    return Math.max(granted, running);
   }
 
   /** Handles everything whose time has come; returns the next time. */
   #onDue(): number {
     const now = this.#clock.now();
     this.#refuseQueued((job) => job.req.deadlineAt <= now, "deadline");
-    for (const job of this.#running) {
-      if (job.req.deadlineAt <= now) {
-        job.exchange?.abandon(new AttemptAbandoned("deadline"));
-      } else if (
-        job.progress.kind === "sent" && job.progress.runEndsAt <= now
-      ) {
-        this.#condition.estimate.add(now - job.progress.at);
-        job.exchange?.abandon(new AttemptAbandoned("run_limit"));
-      }
-    }
+    this.#running.abandonOverdue(
+      (ranMs) => this.#condition.estimate.add(ranMs),
+      now,
+    );
     this.#giveUpSilent();
     this.#checkReleases();
     if (
       this.#drainingSince !== undefined &&
       now >= this.#drainingSince + this.#options.cfg().maxRunMs
     ) {
-      for (const job of this.#atUpstream()) {
+      for (const job of this.#running.atUpstream()) {
         job.exchange?.abandon(new AttemptAbandoned("handed_over"));
       }
     }
@@ -732,13 +649,8 @@
 
   #nextDue(): number {
     const now = this.#clock.now();
-    const times: number[] = [];
+    const times = this.#running.dueTimes(this.#condition.silenceMs);
     for (const job of this.#queue.items()) times.push(job.req.deadlineAt);
-    for (const { progress, req } of this.#running) {
-      times.push(req.deadlineAt);
-      if (progress.kind !== "sent") continue;
-      times.push(progress.runEndsAt, progress.at + this.#condition.silenceMs);
-    }
     return Math.min(...times.filter((at) => at > now));
   }
 
