feat(upstreams): learn when upstreams forget idle connections

Cause: an upstream may forget idle connections after some 300 ms without notice; each connection that rested longer then costs a request, which ends with 502 if it may run only once. Connections were reused after up to 1 s (4 s for idempotent requests). Change: resets of rested connections at two upstreams within 3 s shorten the rest for 8 s, for all upstreams of a VM. Before (rule switched off): forgotten_connections_test: 4 of 8 requests answered. Conclusion: a VM loses two requests to such upstreams, not one for each connection.

--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
 import type { RangeTable } from "../ranges/range_table.ts";
+import { IdleLimit } from "../upstreams/idle_limit.ts";
 import { RouteMatcher } from "./route_matcher.ts";
 import type { RoutingConfig } from "./routing_config.ts";
 import type { ServicePolicy } from "./service_policy.ts";
@@ -35,6 +36,7 @@
   readonly changed = new ChangeNotifier();
   readonly #opts: Options;
   readonly #upstreams = new Map<string, Upstream>();
+  readonly #idleLimit = new IdleLimit();
   readonly #missingSince = new Map<string, number>();
   readonly #ranges = new Map<string, RangeTable>();
   #config: RoutingConfig | undefined;
@@ -258,7 +260,7 @@
       known.update(entry, clock.now());
     } else {
       known?.retire();
-      this.#upstreams.set(id, new Upstream(entry, clock));
+      this.#upstreams.set(id, new Upstream(entry, clock, this.#idleLimit));
       logger.info(
         { upstream: id, incarnation, service, state, failureDomain },
         "upstream registered",
--- a/src/direct/upstream.ts
+++ b/src/direct/upstream.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../base/clock.ts";
+import type { IdleLimit } from "../upstreams/idle_limit.ts";
 import { UpstreamConnections } from "../upstreams/upstream_connections.ts";
 import { FailureEstimate } from "./failure_estimate.ts";
 import { LoadEstimate } from "./load_estimate.ts";
@@ -18,13 +19,15 @@
   /**
    * @param entry - what the registry says
    * @param clock - time of connections
+   * @param idleLimit - shared by all upstreams
    */
-  constructor(entry: UpstreamEntry, clock: Clock) {
+  constructor(entry: UpstreamEntry, clock: Clock, idleLimit: IdleLimit) {
     this.#entry = entry;
     this.load = new LoadEstimate(entry.slots);
     this.connections = new UpstreamConnections({
       address: entry.address,
       clock,
+      idleLimit,
       signal: this.#closing.signal,
       onConnected: () => undefined,
       onConnectFailed: () => this.failures.onUnreachable(clock.now()),
--- a/src/upstreams/dispatcher.ts
+++ b/src/upstreams/dispatcher.ts
@@ -19,6 +19,7 @@
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { GrantKeeper } from "./grant_keeper.ts";
 import { HotKeySketch } from "./hot_key_sketch.ts";
+import { IdleLimit } from "./idle_limit.ts";
 import { OwnedUnits } from "./owned_units.ts";
 import { RateMeter } from "./rate_meter.ts";
 import { refused } from "./refused.ts";
@@ -135,6 +136,7 @@
     this.#connections = new UpstreamConnections({
       address,
       clock,
+      idleLimit: new IdleLimit(),
       signal: this.#end.signal,
       onConnected: () => this.#condition.onConnected(),
       onConnectFailed: () => this.#condition.onConnectFailed(),
--- /dev/null
+++ b/src/upstreams/idle_limit.ts
@@ -0,0 +1,51 @@
+type Reset = { address: string; restedMs: number; at: number };
+
+/** Connections that rested for less are reset because an upstream has ended. */
+const MIN_RESTED_MS = 100;
+/** Upstreams that end reset connections too, but hardly two at a time. */
+const MIN_UPSTREAMS = 2;
+const TOGETHER_MS = 3000;
+/** Connections are used again after this part of the shortest rest seen. */
+const SAFE_PART = 0.7;
+/** Longer rests are tried again after this time without a reset. */
+const MEMORY_MS = 8000;
+
+/**
+ * How long connections to upstreams may rest. An upstream may forget them
+ * sooner than it says, without notice; what is sent next is reset.
+ */
+export class IdleLimit {
+  #resets: Reset[] = [];
+
+  /**
+   * @param reset - `address` of the upstream, and how long the connection had
+   * rested before it was reset at its next request, in milliseconds
+   * @param now - monotonic milliseconds
+   */
+  onReset(reset: Omit<Reset, "at">, now: number): void {
+    if (reset.restedMs < MIN_RESTED_MS) return;
+    this.#resets = [...this.#recent(now), { ...reset, at: now }];
+  }
+
+  /**
+   * @param usualMs - longest rest without resets, in milliseconds
+   * @param now - monotonic milliseconds
+   * @returns longest rest of a connection that may be used again
+   */
+  maxMs(usualMs: number, now: number): number {
+    const recent = this.#recent(now);
+    const isTogether = recent.some((one) =>
+      new Set(
+        recent.filter(({ at }) => Math.abs(at - one.at) <= TOGETHER_MS)
+          .map(({ address }) => address),
+      ).size >= MIN_UPSTREAMS
+    );
+    if (!isTogether) return usualMs;
+    const shortest = Math.min(...recent.map(({ restedMs }) => restedMs));
+    return Math.min(usualMs, SAFE_PART * shortest);
+  }
+
+  #recent(now: number): Reset[] {
+    return this.#resets.filter(({ at }) => now - at < MEMORY_MS);
+  }
+}
--- a/src/upstreams/upstream_connections.ts
+++ b/src/upstreams/upstream_connections.ts
@@ -1,11 +1,14 @@
 import type { Clock } from "../base/clock.ts";
 import { DueTimer } from "./due_timer.ts";
+import type { IdleLimit } from "./idle_limit.ts";
 import { UpstreamConnection } from "./upstream_connection.ts";
 
 type Options = {
   /** `ip:port` of the upstream. */
   address: string;
   clock: Clock;
+  /** Learns from resets; may be shared with other upstreams. */
+  idleLimit: IdleLimit;
   /** Closes everything. */
   signal: AbortSignal;
   onConnected: () => void;
@@ -18,12 +21,16 @@
   onAllClosed: (reset: boolean) => void;
 };
 type Idle = { connection: UpstreamConnection; since: number };
+/** How long a connection had rested when it was taken again, and when. */
+type Reuse = { restedMs: number; at: number };
 
 /** Longer idle connections may have gone silent; see section 14. */
 const IDLE_CLOSE_MS = 4000;
 const IDLE_NON_IDEMPOTENT_MS = 1000;
 /** Health probes and grants use connections of their own. */
 const RESERVED_CONNECTIONS = 2;
+/** A round trip between regions (40 ms), and as much for a slow VM. */
+const RESET_AT_ONCE_MS = 100;
 const RESET_CODES: ReadonlySet<string | undefined> = new Set([
   "ECONNRESET",
   "EPIPE",
@@ -37,6 +44,7 @@
   /** Longest idle first. */
   #idle: Idle[] = [];
   readonly #busy = new Set<UpstreamConnection>();
+  readonly #reused = new WeakMap<UpstreamConnection, Reuse>();
   readonly #timer: DueTimer;
   #retired = false;
 
@@ -73,11 +81,16 @@
    */
   acquire(limit: number, idempotent: boolean): UpstreamConnection {
     const now = this.#options.clock.now();
-    const maxIdle = idempotent ? IDLE_CLOSE_MS : IDLE_NON_IDEMPOTENT_MS;
+    const maxIdle = this.#options.idleLimit.maxMs(
+      idempotent ? IDLE_CLOSE_MS : IDLE_NON_IDEMPOTENT_MS,
+      now,
+    );
     this.#closeIdle();
     const newest = this.#idle.at(-1);
-    if (newest !== undefined && now - newest.since <= maxIdle) {
+    const restedMs = now - (newest?.since ?? 0);
+    if (newest !== undefined && restedMs <= maxIdle) {
       this.#idle.pop();
+      this.#reused.set(newest.connection, { restedMs, at: now });
       this.#busy.add(newest.connection);
       return newest.connection;
     }
@@ -96,6 +109,7 @@
    */
   release(connection: UpstreamConnection): void {
     if (!this.#busy.delete(connection)) return;
+    this.#reused.delete(connection);
     if (!connection.established || this.#retired) {
       this.#remove(connection);
       return;
@@ -116,6 +130,7 @@
     if (!this.#all.has(connection)) return;
     const { code } = err as NodeJS.ErrnoException;
     const reset = connection.established && RESET_CODES.has(code);
+    this.#noteReset(connection, code);
     this.#remove(connection);
     if (reset) this.#closedByUpstream(true);
   }
@@ -142,6 +157,7 @@
       },
       onClosed: (err) => {
         const { code } = err as NodeJS.ErrnoException;
+        this.#noteReset(connection, code);
         this.#remove(connection);
         // The end of a connection that the answer's headers announced.
         if (code !== "UND_ERR_INFO") {
@@ -153,6 +169,16 @@
     return connection;
   }
 
+  #noteReset(connection: UpstreamConnection, code: string | undefined): void {
+    const { idleLimit, address, clock } = this.#options;
+    const reuse = this.#reused.get(connection);
+    const now = clock.now();
+    if (reuse === undefined || !RESET_CODES.has(code)) return;
+    if (now - reuse.at > RESET_AT_ONCE_MS) return;
+    this.#reused.delete(connection);
+    idleLimit.onReset({ address, restedMs: reuse.restedMs }, now);
+  }
+
   #closedByUpstream(reset: boolean): void {
     const left = [...this.#all].some((other) => other.established);
     if (!left) this.#options.onAllClosed(reset);
--- /dev/null
+++ b/tests/direct/forgotten_connections_test.ts
@@ -0,0 +1,75 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { systemClock } from "../../src/base/system_clock.ts";
+import { attempt } from "../../src/direct/attempt.ts";
+import type { CallerCall } from "../../src/direct/caller_call.ts";
+import type { Upstream } from "../../src/direct/upstream.ts";
+import { IdleLimit } from "../../src/upstreams/idle_limit.ts";
+import { httpHeaders } from "../../platform/http_headers.ts";
+import { RawUpstream } from "../support/raw_upstream.ts";
+import { testUpstream } from "../support/test_upstream.ts";
+
+const ID = "9c41d07be2a35f68";
+const ANSWER = `HTTP/1.1 200 OK\r\nFescuerun-Request-Id: ${ID}\r\n` +
+  "Fescuerun-Response-Signature: s\r\nContent-Length: 0\r\n\r\n";
+const FORGETS_MS = 300;
+const REST_MS = 400;
+const UPSTREAMS = 4;
+
+const call: CallerCall = {
+  requestId: ID,
+  method: "POST",
+  target: "/a/",
+  host: "h.example",
+  headers: { host: "h.example" },
+  body: undefined,
+  receivedAt: 0,
+  deadlineMs: 5000,
+  key: undefined,
+};
+
+/** Resets a connection whose next request comes after it has rested. */
+async function forgetful(): Promise<RawUpstream> {
+  const usedAt = new WeakMap<object, number>();
+  return await new RawUpstream((socket) => {
+    const now = systemClock.now();
+    const restedMs = now - (usedAt.get(socket) ?? now);
+    usedAt.set(socket, now);
+    if (restedMs >= FORGETS_MS) socket.resetAndDestroy();
+    else socket.write(ANSWER);
+  }).listen();
+}
+
+async function send(upstream: Upstream): Promise<string> {
+  const { kind } = await attempt({
+    call,
+    upstream,
+    idempotent: false,
+    protocol: httpHeaders,
+    clock: systemClock,
+    deadlineAt: systemClock.now() + 5000,
+    maxConnections: 2,
+  }, new AbortController().signal);
+  return kind;
+}
+
+describe("connections that upstreams forget sooner than they say", () => {
+  // Guards against a failed request for each connection of each upstream.
+  it("are opened anew once two upstreams have reset them", async () => {
+    const idleLimit = new IdleLimit();
+    const raws = await Promise.all(
+      Array.from({ length: UPSTREAMS }, forgetful),
+    );
+    const upstreams = raws.map(({ port }) =>
+      testUpstream({ address: `127.0.0.1:${port}` }, systemClock, idleLimit)
+    );
+    const kinds: string[] = [];
+    for (const upstream of upstreams) kinds.push(await send(upstream));
+    await systemClock.sleep(REST_MS);
+    for (const upstream of upstreams) kinds.push(await send(upstream));
+    for (const upstream of upstreams) upstream.close();
+    for (const raw of raws) raw.close();
+    const answered = kinds.filter((kind) => kind === "answered").length;
+    assert.equal(answered, 2 * UPSTREAMS - 2, kinds.join());
+  });
+});
