feat(direct): see whether an upstream keeps a connection before sending on it

Cause: the owner of hot keys resets new connections while its queue is long. Ruled out: saying 'not run' after a reset, which is not known once bytes were written; fewer connections for each VM: 5 x 90 stay below the limit of 600. Change: nothing is sent on a new connection for one round trip, measured while it connects; a reset in that time counts as not sent and as a long queue. An upstream that is not heard of is as busy as the others of its service (MeanLoad). Before: the new tests of attempt_test and load_estimate_test fail; after: 195 tests of tests/direct and tests/upstreams pass.

--- a/tests/support/memory_row_store.ts
+++ b/dev/standins/memory_row_store.ts
@@ -6,6 +6,7 @@
 import type { RowStore } from "../../src/rows/row_store.ts";
 import type { RowStoreError } from "../../src/rows/row_store_error.ts";
 import type { RowTransaction } from "../../src/rows/row_transaction.ts";
+import { waitForChange } from "../../src/vms/wait_for_change.ts";
 
 /** Calls that get no answer are given up after this time. */
 const CALL_TIMEOUT_MS = 1500;
@@ -76,15 +77,21 @@
   }
 
   async #wait(
-    { table, after }: { table: string; after: number },
+    { table, after, waitMs }: { table: string; after: number; waitMs: number },
     signal: AbortSignal,
   ): Promise<Awaited<ReturnType<RowStore["waitForChanges"]>>> {
+    const until = this.#clock.now() + waitMs;
     const since = () =>
       this.#feed.filter((one) =>
         one.table === table && versionOf(one.change) > after
       ).map(({ change }) => change);
     while (since().length === 0 && !signal.aborted) {
-      await this.#changed.next(signal);
+      const ms = until - this.#clock.now();
+      if (ms <= 0) break;
+      await waitForChange(
+        { clock: this.#clock, ms, notifiers: [this.#changed] },
+        signal,
+      );
     }
     return okAsync({ changes: since(), version: this.#version });
   }
--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -1,5 +1,6 @@
 import type { Readable } from "node:stream";
 import type { Clock } from "../base/clock.ts";
+import { ConnectionRejected } from "../upstreams/connection_rejected.ts";
 import { UpstreamExchange } from "../upstreams/upstream_exchange.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallerCall } from "./caller_call.ts";
@@ -88,7 +89,11 @@
   const head = await exchange.head;
   switch (head.kind) {
     case "not_sent":
-      return { kind: "not_sent", reason: head.err.message };
+      return {
+        kind: "not_sent",
+        reason: head.err.message,
+        full: head.err instanceof ConnectionRejected,
+      };
     case "unanswered":
       return { kind: "lost", reason: head.err.message };
     case "answered": {
--- a/src/direct/attempt_result.ts
+++ b/src/direct/attempt_result.ts
@@ -18,6 +18,11 @@
   /** The upstream has not run the request and says so. */
   | { kind: "rejected"; status: number; answer: UpstreamAnswer }
   /** No byte of the request left this VM. */
-  | { kind: "not_sent"; reason: string }
+  | {
+    kind: "not_sent";
+    reason: string;
+    /** The upstream is there, but accepts no further connection now. */
+    full: boolean;
+  }
   /** The request may have run; there is no usable answer. */
   | { kind: "lost"; reason: string };
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -38,6 +38,8 @@
 /** Answers 421 while the owner of a key changes. */
 const MAX_MISDIRECTED = 3;
 const MISDIRECTED_WAIT_MS = 120;
+/** The owner of a key has no connection left; its work takes 100 to 500 ms. */
+const FULL_WAIT_MS = 60;
 /** A request is sent again only if this much time is left for it. */
 const MIN_RETRY_MS = 30;
 /** When a second upstream is asked, in parts of the objective. */
@@ -158,8 +160,12 @@
           return this.#deliver(verdict.result);
         case "not_sent":
           state.notSent++;
-          if (state.notSent > MAX_NOT_SENT || state.keyed) {
-            return this.#fail(state, "upstream_unavailable", verdict.text);
+          if (
+            state.notSent > MAX_NOT_SENT || (state.keyed && !verdict.full)
+          ) return this.#fail(state, "upstream_unavailable", verdict.text);
+          if (state.keyed) {
+            state.tried.delete(upstream);
+            await this.#waited(state, FULL_WAIT_MS, gone);
           }
           break;
         case "misdirected":
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../base/logger.ts";
 import type { RangeTable } from "../ranges/range_table.ts";
 import { IdleLimit } from "../upstreams/idle_limit.ts";
+import { MeanLoad } from "./mean_load.ts";
 import { RouteMatcher } from "./route_matcher.ts";
 import type { RoutingConfig } from "./routing_config.ts";
 import type { ServicePolicy } from "./service_policy.ts";
@@ -37,6 +38,7 @@
   readonly #opts: Options;
   readonly #upstreams = new Map<string, Upstream>();
   readonly #idleLimit = new IdleLimit();
+  readonly #loads = new Map<string, MeanLoad>();
   readonly #missingSince = new Map<string, number>();
   readonly #ranges = new Map<string, RangeTable>();
   #config: RoutingConfig | undefined;
@@ -260,7 +262,10 @@
       known.update(entry, clock.now());
     } else {
       known?.retire();
-      this.#upstreams.set(id, new Upstream(entry, clock, this.#idleLimit));
+      this.#upstreams.set(
+        id,
+        new Upstream(entry, clock, this.#shared(service)),
+      );
       logger.info(
         { upstream: id, incarnation, service, state, failureDomain },
         "upstream registered",
@@ -307,6 +312,12 @@
     this.changed.notify();
   }
 
+  #shared(service: string): { idleLimit: IdleLimit; load: MeanLoad } {
+    const load = this.#loads.get(service) ?? new MeanLoad();
+    this.#loads.set(service, load);
+    return { idleLimit: this.#idleLimit, load };
+  }
+
   #forget(id: string): void {
     this.#missingSince.delete(id);
     const known = this.#upstreams.get(id);
--- a/src/direct/judge_result.ts
+++ b/src/direct/judge_result.ts
@@ -5,7 +5,7 @@
 type Verdict =
   | { kind: "deliver"; text: string; result: Answered }
   /** Nothing left this VM. */
-  | { kind: "not_sent"; text: string }
+  | { kind: "not_sent"; text: string; full: boolean }
   /** Another upstream has the address, or another owner the key. */
   | { kind: "misdirected"; text: string }
   /** The upstream refused the request and has not run it. */
@@ -29,7 +29,11 @@
 export function judgeResult(result: AttemptResult): Verdict {
   switch (result.kind) {
     case "not_sent":
-      return { kind: "not_sent", text: `not sent, ${result.reason}` };
+      return {
+        kind: "not_sent",
+        text: `not sent, ${result.reason}`,
+        full: result.full,
+      };
     case "lost":
       return {
         kind: "failed",
--- a/src/direct/load_estimate.ts
+++ b/src/direct/load_estimate.ts
@@ -1,9 +1,13 @@
 import type { LoadReport } from "./load_report.ts";
+import type { MeanLoad } from "./mean_load.ts";
 
 /** How fast a report of requests from other VMs gives way to their mean. */
 const REPORT_DECAY_MS = 600;
 const MEAN_WEIGHT = 0.25;
-/** How fast the mean itself loses its weight without reports. */
+/**
+ * How fast the mean itself gives way to that of the service's upstreams, since
+ * an upstream that was not heard of is as busy as the others.
+ */
 const MEAN_DECAY_MS = 4000;
 /** Upstreams share their hosts; slowdowns last some hundreds of ms. */
 const SLOWDOWN_DECAY_MS = 300;
@@ -13,6 +17,8 @@
 /** A slow upstream is tried again after this time without an answer. */
 const SLOWNESS_DECAY_MS = 6000;
 
+/** Upstreams queue a few requests for each slot. */
+const ASSUMED_QUEUE_PER_SLOT = 3;
 /** Slowdowns that tell an upstream's own speed by their median. */
 const SPEED_REPORTS = 7;
 
@@ -23,6 +29,7 @@
  * counts, and those of the other VMs, which answers report late.
  */
 export class LoadEstimate {
+  readonly #service: MeanLoad;
   #slots: number;
   #inFlight = 0;
   #reported: Reported | undefined;
@@ -38,9 +45,11 @@
 
   /**
    * @param slots - requests that the upstream runs at a time
+   * @param service - load of the service's upstreams, shared by all of them
    */
-  constructor(slots: number) {
+  constructor(slots: number, service: MeanLoad) {
     this.#slots = slots;
+    this.#service = service;
   }
 
   /**
@@ -80,11 +89,27 @@
     const ahead = report.running + report.waiting;
     const own = Math.max(0, this.#inFlight - 1);
     const others = Math.max(0, ahead - own);
+    this.#service.onReport(others / report.slots, now);
     this.#meanOthers = this.#meanAt(now);
     this.#meanOthers += MEAN_WEIGHT * (others - this.#meanOthers);
     this.#reported = { ...report, others, at: now };
   }
 
+  /**
+   * The upstream accepts no further connection, which it does when its queue is
+   * long.
+   *
+   * @param now - monotonic milliseconds
+   */
+  onConnectionRejected(now: number): void {
+    this.onReport({
+      running: this.#slots,
+      waiting: ASSUMED_QUEUE_PER_SLOT * this.#slots,
+      slots: this.#slots,
+      slowdown: this.#usualSlowdown,
+    }, now);
+  }
+
   /**
    * @param ratio - observed time of a request that found a free slot, relative
    * to the mean of its route and the reported slowdown
@@ -142,7 +167,9 @@
 
   #meanAt(now: number): number {
     const age = now - (this.#reported?.at ?? now);
-    return this.#meanOthers * Math.exp(-age / MEAN_DECAY_MS);
+    const usual = this.#service.perSlot(now) * this.#slots;
+    return usual +
+      (this.#meanOthers - usual) * Math.exp(-age / MEAN_DECAY_MS);
   }
 
   /**
--- a/src/direct/upstream.ts
+++ b/src/direct/upstream.ts
@@ -1,8 +1,10 @@
 import type { Clock } from "../base/clock.ts";
+import { ConnectionRejected } from "../upstreams/connection_rejected.ts";
 import type { IdleLimit } from "../upstreams/idle_limit.ts";
 import { UpstreamConnections } from "../upstreams/upstream_connections.ts";
 import { FailureEstimate } from "./failure_estimate.ts";
 import { LoadEstimate } from "./load_estimate.ts";
+import type { MeanLoad } from "./mean_load.ts";
 import type { UpstreamEntry } from "./upstream_entry.ts";
 import { WarmUpPacer } from "./warm_up_pacer.ts";
 
@@ -19,18 +21,28 @@
   /**
    * @param entry - what the registry says
    * @param clock - time of connections
-   * @param idleLimit - shared by all upstreams
+   * @param shared - what upstreams have in common: `idleLimit` of all of them,
+   * `load` of those of the service
    */
-  constructor(entry: UpstreamEntry, clock: Clock, idleLimit: IdleLimit) {
+  constructor(
+    entry: UpstreamEntry,
+    clock: Clock,
+    shared: { idleLimit: IdleLimit; load: MeanLoad },
+  ) {
     this.#entry = entry;
-    this.load = new LoadEstimate(entry.slots);
+    this.load = new LoadEstimate(entry.slots, shared.load);
     this.connections = new UpstreamConnections({
       address: entry.address,
       clock,
-      idleLimit,
+      idleLimit: shared.idleLimit,
+      awaitAcceptance: true,
       signal: this.#closing.signal,
       onConnected: () => undefined,
-      onConnectFailed: () => this.failures.onUnreachable(clock.now()),
+      onConnectFailed: (err) => {
+        if (err instanceof ConnectionRejected) {
+          this.load.onConnectionRejected(clock.now());
+        } else this.failures.onUnreachable(clock.now());
+      },
       onAllClosed: () => undefined,
     });
     this.warmUp.setColdUntil(clock.now() + entry.warmUpMs, clock.now());
--- a/src/upstreams/upstream_connection.ts
+++ b/src/upstreams/upstream_connection.ts
@@ -2,6 +2,7 @@
 import { Client } from "undici";
 import type { Dispatcher } from "undici";
 import type { Clock } from "../base/clock.ts";
+import { ConnectionRejected } from "./connection_rejected.ts";
 import { openSocket } from "./open_socket.ts";
 
 type Options = {
@@ -9,8 +10,10 @@
   address: string;
   clock: Clock;
   onConnected: () => void;
-  /** The connection was refused or timed out. */
-  onConnectFailed: () => void;
+  /** Sends nothing for one round trip, see `UpstreamConnections`. */
+  awaitAcceptance: boolean;
+  /** @param err - the connection was refused, timed out or reset at once */
+  onConnectFailed: (err: Error) => void;
   /** @param err - why an established connection is gone */
   onClosed: (err: Error) => void;
 };
@@ -21,6 +24,10 @@
 
 /** `UpstreamConnections` closes idle connections by its own clock before. */
 const IDLE_LIMIT_MS = 4000;
+/** A round trip between regions takes 40 ms. */
+const MAX_ACCEPTANCE_MS = 60;
+/** Added to a round trip, which may have been measured a little short. */
+const ACCEPTANCE_SLACK_MS = 1;
 
 /** One connection to an upstream, for one request at a time. */
 export class UpstreamConnection {
@@ -96,23 +103,65 @@
   }
 
   #connect(callback: Parameters<Connector>[1]): void {
-    const { address, clock, onConnected, onConnectFailed } = this.#options;
+    const { address, clock, awaitAcceptance } = this.#options;
+    const startedAt = clock.now();
     this.#socket = openSocket(address, clock, (err, socket) => {
       if (err !== undefined) {
-        // The callback fails the request, which discards this connection.
-        const wanted = this.#gone;
-        callback(err, null);
-        this.destroy();
-        if (!wanted) onConnectFailed();
-        return;
+        // A refusal comes from a port on which nothing listens, a reset from an
+        // upstream.
+        const { code } = err as NodeJS.ErrnoException;
+        const rejected = awaitAcceptance && code === "ECONNRESET";
+        this.#onFailed(
+          rejected ? new ConnectionRejected(address) : err,
+          callback,
+        );
+      } else if (!awaitAcceptance) this.#onEstablished(socket, callback);
+      else {
+        const roundTripMs = clock.now() - startedAt;
+        void this.#awaitAcceptance(socket, roundTripMs, callback);
       }
-      this.#established = true;
-      // Before undici's own listener, which ends the answer.
-      socket.once("error", () => {
-        this.#reset = true;
-      });
-      callback(null, socket);
-      onConnected();
     });
   }
+
+  /** Too many connections are reset one round trip after they stand. */
+  async #awaitAcceptance(
+    socket: Socket,
+    roundTripMs: number,
+    callback: Parameters<Connector>[1],
+  ): Promise<void> {
+    const { address, clock } = this.#options;
+    const closed = new AbortController();
+    const onError = () => closed.abort();
+    socket.once("error", onError);
+    socket.once("close", onError);
+    await clock.sleep(
+      Math.min(MAX_ACCEPTANCE_MS, roundTripMs + ACCEPTANCE_SLACK_MS),
+      closed.signal,
+    );
+    socket.off("close", onError);
+    if (closed.signal.aborted) {
+      this.#onFailed(new ConnectionRejected(address), callback);
+      return;
+    }
+    this.#onEstablished(socket, callback);
+    socket.off("error", onError);
+  }
+
+  #onFailed(err: Error, callback: Parameters<Connector>[1]): void {
+    // The callback fails the request, which discards this connection.
+    const wanted = this.#gone;
+    callback(err, null);
+    this.destroy();
+    if (!wanted) this.#options.onConnectFailed(err);
+  }
+
+  #onEstablished(socket: Socket, callback: Parameters<Connector>[1]): void {
+    this.#established = true;
+    // Before undici's own listener, which ends the answer.
+    socket.once("error", () => {
+      this.#reset = true;
+    });
+    callback(null, socket);
+    this.#options.onConnected();
+  }
 }
--- a/src/upstreams/upstream_connections.ts
+++ b/src/upstreams/upstream_connections.ts
@@ -9,10 +9,16 @@
   clock: Clock;
   /** Learns from resets; may be shared with other upstreams. */
   idleLimit: IdleLimit;
+  /**
+   * Requests are sent on a new connection only when a round trip has shown that
+   * the upstream keeps it.
+   */
+  awaitAcceptance: boolean;
   /** Closes everything. */
   signal: AbortSignal;
   onConnected: () => void;
-  onConnectFailed: () => void;
+  /** @param err - why no connection was established */
+  onConnectFailed: (err: Error) => void;
   /**
    * The last established connection was closed by the other side.
    *
@@ -151,9 +157,10 @@
       address: this.#options.address,
       clock: this.#options.clock,
       onConnected: this.#options.onConnected,
-      onConnectFailed: () => {
+      awaitAcceptance: this.#options.awaitAcceptance,
+      onConnectFailed: (err) => {
         this.#remove(connection);
-        this.#options.onConnectFailed();
+        this.#options.onConnectFailed(err);
       },
       onClosed: (err) => {
         const { code } = err as NodeJS.ErrnoException;
--- a/tests/direct/attempt_test.ts
+++ b/tests/direct/attempt_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { Socket } from "node:net";
+import { createServer, type Socket } from "node:net";
 import { systemClock } from "../../src/base/system_clock.ts";
 import { attempt } from "../../src/direct/attempt.ts";
 import type { CallerCall } from "../../src/direct/caller_call.ts";
@@ -117,4 +117,46 @@
       }
     });
   }
+
+  // The pattern: a hot key's owner has a long queue and resets new connections.
+  // Guards: a request that no upstream has seen ends as if it may have run.
+  for (
+    const { name, connections, kind } of [
+      { name: "resets each connection", connections: 0, kind: "not_sent" },
+      { name: "keeps connections", connections: 1, kind: "answered" },
+    ]
+  ) {
+    it(`has not sent what an upstream that ${name}: ${kind}`, async () => {
+      const server = createServer((socket) => {
+        socket.on("error", () => undefined);
+        if (connections === 0) socket.resetAndDestroy();
+        socket.on(
+          "data",
+          () => socket.write(`${HEAD}Content-Length: 0\r\n\r\n`),
+        );
+      });
+      await new Promise<void>((resolve) =>
+        server.listen(0, "127.0.0.1", () => resolve())
+      );
+      const bound = server.address();
+      const port = typeof bound === "object" ? bound?.port ?? 0 : 0;
+      const upstream = testUpstream({ address: `127.0.0.1:${port}` });
+      const result = await attempt({
+        call: { ...call, method: "POST" },
+        upstream,
+        idempotent: false,
+        protocol: httpHeaders,
+        clock: systemClock,
+        deadlineAt: systemClock.now() + 5000,
+        maxConnections: 2,
+      }, new AbortController().signal);
+      upstream.close();
+      server.close();
+      assert.equal(result.kind, kind);
+      if (result.kind === "not_sent") {
+        assert.ok(result.full);
+        assert.ok(!upstream.failures.isUnreachable(systemClock.now()));
+      }
+    });
+  }
 });
--- a/tests/direct/judge_result_test.ts
+++ b/tests/direct/judge_result_test.ts
@@ -37,7 +37,12 @@
   ["a signed 429", answered(429), "failed", false],
   ["a signed 408", answered(408), "failed", false],
   ["no answer", { kind: "lost", reason: "reset" }, "failed", false],
-  ["no connection", { kind: "not_sent", reason: "x" }, "not_sent", false],
+  [
+    "no connection",
+    { kind: "not_sent", reason: "x", full: false },
+    "not_sent",
+    false,
+  ],
   [
     "a shed request",
     { kind: "rejected", status: 503, answer },
--- a/tests/platform/table_client_test.ts
+++ b/tests/platform/table_client_test.ts
@@ -2,8 +2,8 @@
 import { after, before, describe, it } from "node:test";
 import { TableClient } from "../../platform/table_client.ts";
 import { systemClock } from "../../src/base/system_clock.ts";
-import { HttpRowStore } from "../support/http_row_store.ts";
-import { MemoryRowStore } from "../support/memory_row_store.ts";
+import { RowStoreServer } from "../../platform/standins/row_store_server.ts";
+import { MemoryRowStore } from "../../dev/standins/memory_row_store.ts";
 
 const signal = new AbortController().signal;
 
@@ -17,7 +17,7 @@
 
 describe("TableClient", () => {
   const memory = new MemoryRowStore(systemClock);
-  const http = new HttpRowStore(memory);
+  const http = new RowStoreServer(memory);
   let client: TableClient;
   before(async () => {
     await http.listen();
--- a/tests/platform/whole_path_test.ts
+++ b/tests/platform/whole_path_test.ts
@@ -10,8 +10,8 @@
 import { DirectDaemon } from "../../src/direct/direct_daemon.ts";
 import { DirectMetrics } from "../../src/direct/direct_metrics.ts";
 import { freePorts } from "../../dev/deployment/free_ports.ts";
-import { HttpRowStore } from "../support/http_row_store.ts";
-import { MemoryRowStore } from "../support/memory_row_store.ts";
+import { RowStoreServer } from "../../platform/standins/row_store_server.ts";
+import { MemoryRowStore } from "../../dev/standins/memory_row_store.ts";
 import { RawCaller } from "../support/raw_caller.ts";
 import { silentLogger } from "../support/silent_logger.ts";
 
@@ -98,7 +98,7 @@
     { timeout: TEST_MS },
     async () => {
       const memory = new MemoryRowStore(systemClock);
-      const http = await new HttpRowStore(memory).listen();
+      const http = await new RowStoreServer(memory).listen();
       const worker = await startWorker();
       memory.put("op", "config", config(1));
       memory.put(
--- a/tests/rows/table_follower_test.ts
+++ b/tests/rows/table_follower_test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { TableFollower } from "../../src/rows/table_follower.ts";
 import { ManualClock } from "../support/manual_clock.ts";
-import { MemoryRowStore } from "../support/memory_row_store.ts";
+import { MemoryRowStore } from "../../dev/standins/memory_row_store.ts";
 import { silentLogger } from "../support/silent_logger.ts";
 
 function rig() {
--- a/tests/support/range_rig.ts
+++ b/tests/support/range_rig.ts
@@ -5,7 +5,7 @@
 import { ServiceRanges } from "../../src/ranges/service_ranges.ts";
 import { LeaseUpstreams } from "./lease_upstreams.ts";
 import { ManualClock } from "./manual_clock.ts";
-import { MemoryRowStore } from "./memory_row_store.ts";
+import { MemoryRowStore } from "../../dev/standins/memory_row_store.ts";
 import { silentLogger } from "./silent_logger.ts";
 
 const SERVICE = "ledger";
--- a/tests/support/relay_rig.ts
+++ b/tests/support/relay_rig.ts
@@ -2,7 +2,7 @@
 import { TableRelay } from "../../src/rows/table_relay.ts";
 import { ManualClock } from "./manual_clock.ts";
 import { MemoryPeers } from "./memory_peers.ts";
-import { MemoryRowStore } from "./memory_row_store.ts";
+import { MemoryRowStore } from "../../dev/standins/memory_row_store.ts";
 import { PausableClock } from "./pausable_clock.ts";
 import { silentLogger } from "./silent_logger.ts";
 
