--- a/dev/soak/check_promises.ts
+++ b/dev/soak/check_promises.ts
@@ -71,6 +71,7 @@
       ? `status ${end.status}`
       : undefined;
   }
+  if (!end.connected) return undefined;
   const stop = stops.find((one) => one.router === router && one.run === run);
   // A request that crosses the close of its connection has not been read.
   const crossed = stop !== undefined && sentAt >= stop.from && ran === 0;
--- a/dev/soak/soak_call.ts
+++ b/dev/soak/soak_call.ts
@@ -11,5 +11,6 @@
   end:
     /** `whole`: signed, and the upstream's whole answer to this request. */
     | { kind: "answered"; status: number; whole: boolean }
-    | { kind: "failed"; reason: string };
+    /** `connected`: the request may have reached the router. */
+    | { kind: "failed"; reason: string; connected: boolean };
 };
--- a/dev/soak/soak_callers.ts
+++ b/dev/soak/soak_callers.ts
@@ -21,6 +21,10 @@
 const HOT_KEYS = 40;
 const HOT_PART = 0.5;
 const KEYS = 65_536;
+const NOT_CONNECTED: readonly (string | undefined)[] = [
+  "ECONNREFUSED",
+  "UND_ERR_CONNECT_TIMEOUT",
+];
 const PREFIXES = ["/read/", "/write/", "/keyed-read/", "/keyed-write/"];
 
 /** Callers that keep using an open connection until it is gone. */
@@ -138,7 +142,12 @@
       text === `${id} ${req.method} ${req.path} ${req.body}`;
     return { kind: "answered", status: res.statusCode, whole };
   } catch (err) {
-    return { kind: "failed", reason: String(err) };
+    const { code } = err as NodeJS.ErrnoException;
+    return {
+      kind: "failed",
+      reason: String(err),
+      connected: !NOT_CONNECTED.includes(code),
+    };
   }
 }
 
--- a/dev/standins/memory_row_store.ts
+++ b/dev/standins/memory_row_store.ts
@@ -27,6 +27,13 @@
     this.#clock = clock;
   }
 
+  /**
+   * @returns version of the newest change
+   */
+  get version(): number {
+    return this.#version;
+  }
+
   transact(
     transaction: RowTransaction,
     signal: AbortSignal,
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,7 +4,7 @@
 
 const entryPoints = { fescuerun: "src/main.ts" };
 if (!process.argv.includes("--release")) {
-  for (const name of ["standins", "demo", "bench"]) {
+  for (const name of ["standins", "demo", "bench", "soak"]) {
     const file = `dev/${name}/main.ts`;
     if (existsSync(file)) entryPoints[name] = file;
   }
