feat(ranges): leave the keeper's and relays' work to larger VMs

Cause: the first VM to ask becomes keeper, the first by name relay. Ruled out: more messages to choose the strongest keeper: it must work without a keeper. Change: a VM's cores come from the platform's settings; the keeper names the relay with most cores, and a VM with less than 0.4 lets others take the lease for 400 ms. Before: keeper_lease_test (a larger VM that starts later) and region_relays_test (most cores) have no counterpart in the former code; after: they pass.

--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -144,6 +144,7 @@
       store,
       table: KEEPER_TABLE,
       self,
+      cores: cfg.cores,
       clock,
       logger,
       signal: this.#end.signal,
@@ -152,7 +153,7 @@
     this.#keeper = new RangeKeeper({
       store,
       table: RANGES_TABLE,
-      self: { ...self, region: cfg.region },
+      self: { ...self, region: cfg.region, cores: cfg.cores },
       view,
       lease: this.#lease,
       grants: opts.grants(this.#end.signal),
--- a/src/direct/direct_settings.ts
+++ b/src/direct/direct_settings.ts
@@ -18,4 +18,6 @@
   retries: { ratio: number; windowMs: number; slack: number };
   /** Longest lease that an upstream grants on keys, in milliseconds. */
   maxHoldMs: number;
+  /** Processor cores of the VM; undefined if it is not known. */
+  cores: number | undefined;
 };
--- a/src/ranges/keeper_lease.ts
+++ b/src/ranges/keeper_lease.ts
@@ -16,6 +16,8 @@
   store: RowStore;
   table: string;
   self: Omit<LeaseRow, "schema">;
+  /** Processor cores of this VM; undefined if it is not known. */
+  cores: number | undefined;
   clock: Clock;
   logger: Logger;
   signal: AbortSignal;
@@ -26,6 +28,10 @@
 const RENEW_MS = 500;
 /** A row that has not changed for this long belongs to a lost keeper. */
 const TTL_MS = 1500;
+/** The keeper of 90 VMs takes up to 0.27 cores. */
+const KEEPER_CORES = 0.4;
+/** By how much smaller VMs let others go first: less than one look. */
+const SMALL_VM_MS = 400;
 /** Between two looks at the row of a keeper that does not answer. */
 const LOOK_MS = 500;
 const JITTER_MS = 150;
@@ -197,6 +203,10 @@
     }
   }
 
+  #handicapMs(): number {
+    return (this.#opts.cores ?? KEEPER_CORES) < KEEPER_CORES ? SMALL_VM_MS : 0;
+  }
+
   #measureDrift(): number {
     const { clock } = this.#opts;
     return clock.wallTime().getTime() - clock.now();
@@ -242,8 +252,8 @@
       }
     }
     const ownEarlier = row?.vm === self.vm;
-    const expired = row === undefined || ownEarlier ||
-      clock.now() - seen.since >= TTL_MS;
+    const free = row === undefined || ownEarlier ? 0 : TTL_MS;
+    const expired = clock.now() - seen.since >= free + this.#handicapMs();
     if (!expired) return false;
     const outcome = await this.#write(seen.version);
     if (outcome.kind !== "applied") return false;
@@ -277,7 +287,7 @@
       logger.error({ version: found.version }, "keeper lease is malformed");
     }
     const version = found?.version ?? 0;
-    if (this.#seen?.version !== version || this.#seen.row === undefined) {
+    if (this.#seen?.version !== version) {
       this.#seen = { row, version, since: clock.now() };
     }
     return row;
--- a/src/ranges/key_report.ts
+++ b/src/ranges/key_report.ts
@@ -18,6 +18,8 @@
     peerUrl: z.string().optional(),
     /** Whether the store answers this VM, as far as it knows. */
     canRelay: z.boolean().default(true),
+    /** Processor cores of the VM. */
+    cores: z.number().positive().optional(),
   }),
   result: z.object({
     /** Whether the called VM is the keeper. */
--- a/src/ranges/range_keeper.ts
+++ b/src/ranges/range_keeper.ts
@@ -20,7 +20,13 @@
 type Options = {
   store: RowStore;
   table: string;
-  self: { vm: string; incarnation: string; region: string; peerUrl: string };
+  self: {
+    vm: string;
+    incarnation: string;
+    region: string;
+    peerUrl: string;
+    cores: number | undefined;
+  };
   view: FleetView;
   lease: KeeperLease;
   grants: RangeGrants;
@@ -261,8 +267,8 @@
     lease.onPeer(report.vm, report.incarnation);
     if (!lease.held) return { keeper: false, vms: view.vms };
     const keeper = lease.confirmed;
-    const { vm, region = "", peerUrl = "", canRelay } = report;
-    this.#relays.onReport({ vm, region, peerUrl, canRelay }, now);
+    const { vm, region = "", peerUrl = "", canRelay, cores } = report;
+    this.#relays.onReport({ vm, region, peerUrl, canRelay, cores }, now);
     this.#relays.forget(
       now - Math.max(REPORTER_MS, REPORTER_REPORTS * this.#intervalMs),
     );
--- a/src/ranges/region_relays.ts
+++ b/src/ranges/region_relays.ts
@@ -4,11 +4,13 @@
   peerUrl: string;
   /** Whether the store answers the VM. */
   canRelay: boolean;
+  /** Processor cores; undefined if it is not known. */
+  cores: number | undefined;
 };
 
 /**
- * Which VM of each region follows the store for the others. A choice stays as
- * long as the VM reports and the store answers it.
+ * Which VM of each region follows the store for the others: the one with most
+ * cores. A choice stays as long as the VM reports and the store answers it.
  */
 export class RegionRelays {
   readonly #reporters = new Map<string, Reporter & { at: number }>();
@@ -49,7 +51,9 @@
     if (chosen?.region === region && chosen.canRelay) return chosen.peerUrl;
     const [next] = [...this.#reporters.values()]
       .filter((one) => one.region === region && one.canRelay)
-      .sort((a, b) => a.vm < b.vm ? -1 : 1);
+      .sort((a, b) =>
+        (b.cores ?? 0) - (a.cores ?? 0) || (a.vm < b.vm ? -1 : 1)
+      );
     if (next !== undefined) this.#chosen.set(region, next.vm);
     return next?.peerUrl;
   }
--- a/tests/platform/whole_path_test.ts
+++ b/tests/platform/whole_path_test.ts
@@ -132,6 +132,7 @@
           stopMs: 2000,
           retries: { ratio: 0.2, windowMs: 10_000, slack: 60 },
           maxHoldMs: 10_000,
+          cores: undefined,
         },
         clock: systemClock,
         logger,
--- a/tests/ranges/keeper_lease_test.ts
+++ b/tests/ranges/keeper_lease_test.ts
@@ -18,13 +18,14 @@
   const clock = new SuspendedClock();
   const store = new MemoryRowStore(clock);
   const leases: AbortController[] = [];
-  const start = (vm: string, incarnation = `${vm}-1`) => {
+  const start = (vm: string, incarnation = `${vm}-1`, cores?: number) => {
     const end = new AbortController();
     leases.push(end);
     const lease = new KeeperLease({
       store,
       table: "keeper",
       self: { vm, incarnation, peerUrl: `http://${vm}` },
+      cores,
       clock,
       logger: silentLogger(),
       signal: end.signal,
@@ -54,6 +55,25 @@
     assert.equal([one, two].filter(({ lease }) => lease.held).length, 1);
   });
 
+  // The pattern: many VMs of uneven size. Guards against a keeper whose reports
+  // and grants take more processor time than its VM has.
+  it("goes to a larger VM that starts a little later", async () => {
+    const { start, pass } = rig();
+    const small = start("vm-1", "vm-1-1", 0.27);
+    await pass(200);
+    const large = start("vm-2", "vm-2-1", 1.35);
+    await pass(1500);
+    assert.ok(!small.lease.held);
+    assert.ok(large.lease.held);
+  });
+
+  it("goes to a small VM if there is no other", async () => {
+    const { start, pass } = rig();
+    const small = start("vm-1", "vm-1-1", 0.27);
+    await pass(1500);
+    assert.ok(small.lease.held);
+  });
+
   it("goes to another VM within 3 s of the keeper's loss", async () => {
     const { start, pass, suspectFor } = rig();
     const one = start("vm-1");
--- a/tests/ranges/region_relays_test.ts
+++ b/tests/ranges/region_relays_test.ts
@@ -3,7 +3,13 @@
 import { RegionRelays } from "../../src/ranges/region_relays.ts";
 
 function reporter(vm: string, region: string) {
-  return { vm, region, peerUrl: `http://${vm}`, canRelay: true };
+  return {
+    vm,
+    region,
+    peerUrl: `http://${vm}`,
+    canRelay: true,
+    cores: undefined,
+  };
 }
 
 describe("RegionRelays", () => {
@@ -40,6 +46,15 @@
     assert.equal(relays.relayOf("a"), undefined);
   });
 
+  // Guards against a relay that its region's questions take the processor of.
+  it("prefers the VM with most cores", () => {
+    const relays = new RegionRelays();
+    for (const [index, cores] of [0.27, 1.35, 0.54].entries()) {
+      relays.onReport({ ...reporter(`a-${index}`, "a"), cores }, 0);
+    }
+    assert.equal(relays.relayOf("a"), "http://a-1");
+  });
+
   it("follows a VM to its new address", () => {
     const relays = new RegionRelays();
     relays.onReport(reporter("a-1", "a"), 0);
--- a/tests/support/range_rig.ts
+++ b/tests/support/range_rig.ts
@@ -52,6 +52,7 @@
       store,
       table: "keeper",
       self: { vm, incarnation: `${vm}-1`, peerUrl: `http://${vm}` },
+      cores: undefined,
       clock,
       logger,
       signal: end.signal,
