--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -37,7 +37,7 @@
   readonly changed = new ChangeNotifier();
   readonly #opts: Options;
   readonly #upstreams = new Map<string, Upstream>();
-  readonly #idleLimit = new IdleLimit();
+  readonly #idleLimit: IdleLimit;
   readonly #missingSince = new Map<string, number>();
   readonly #ranges = new Map<string, RangeTable>();
   #config: RoutingConfig | undefined;
@@ -58,6 +58,9 @@
    */
   constructor(opts: Options) {
     this.#opts = opts;
+    this.#idleLimit = new IdleLimit((change) =>
+      opts.logger.info(change, "longest rest of connections changed")
+    );
     this.#vms = opts.assumedVms;
     this.#vmsAt = opts.clock.now();
   }
--- a/src/upstreams/idle_limit.ts
+++ b/src/upstreams/idle_limit.ts
@@ -1,3 +1,9 @@
+type Change = {
+  /** Longest rest in milliseconds; undefined if it is as usual. */
+  limitMs: number | undefined;
+  /** Resets that are remembered. */
+  resets: number;
+};
 type Reset = { address: string; restedMs: number; at: number };
 
 /** Connections that rested for less are reset because an upstream has ended. */
@@ -15,7 +21,16 @@
  * sooner than it says, without notice; what is sent next is reset.
  */
 export class IdleLimit {
+  readonly #onChange: (change: Change) => void;
   #resets: Reset[] = [];
+  #limitMs = Infinity;
+
+  /**
+   * @param onChange - told when rests get shorter, or are as usual again
+   */
+  constructor(onChange: (change: Change) => void = () => undefined) {
+    this.#onChange = onChange;
+  }
 
   /**
    * @param reset - `address` of the upstream, and how long the connection had
@@ -25,6 +40,7 @@
   onReset(reset: Omit<Reset, "at">, now: number): void {
     if (reset.restedMs < MIN_RESTED_MS) return;
     this.#resets = [...this.#recent(now), { ...reset, at: now }];
+    this.#update(now);
   }
 
   /**
@@ -33,6 +49,11 @@
    * @returns longest rest of a connection that may be used again
    */
   maxMs(usualMs: number, now: number): number {
+    this.#update(now);
+    return Math.min(usualMs, this.#limitMs);
+  }
+
+  #update(now: number): void {
     const recent = this.#recent(now);
     const isTogether = recent.some((one) =>
       new Set(
@@ -40,9 +61,14 @@
           .map(({ address }) => address),
       ).size >= MIN_UPSTREAMS
     );
-    if (!isTogether) return usualMs;
     const shortest = Math.min(...recent.map(({ restedMs }) => restedMs));
-    return Math.min(usualMs, SAFE_PART * shortest);
+    const limitMs = isTogether ? SAFE_PART * shortest : Infinity;
+    if (limitMs === this.#limitMs) return;
+    this.#limitMs = limitMs;
+    this.#onChange({
+      limitMs: isTogether ? Math.round(limitMs) : undefined,
+      resets: recent.length,
+    });
   }
 
   #recent(now: number): Reset[] {
--- a/tests/upstreams/idle_limit_test.ts
+++ b/tests/upstreams/idle_limit_test.ts
@@ -79,4 +79,15 @@
       assert.equal(limit.maxMs(USUAL_MS, now), maxMs);
     });
   }
+
+  it("tells when rests get shorter and when they are as usual again", () => {
+    const told: (number | undefined)[] = [];
+    const limit = new IdleLimit(({ limitMs }) => told.push(limitMs));
+    limit.onReset({ address: "a", restedMs: 400 }, 0);
+    limit.onReset({ address: "b", restedMs: 400 }, 10);
+    limit.onReset({ address: "b", restedMs: 500 }, 20);
+    limit.maxMs(USUAL_MS, 30);
+    limit.maxMs(USUAL_MS, 9000);
+    assert.deepEqual(told, [280, undefined]);
+  });
 });
