--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import type { Socket } from "node:net";
+import { createServer, type Socket } from "node:net";
 import { describe, it } from "node:test";
 import { httpHeaders } from "../../platform/http_headers.ts";
 import type { Clock } from "../../src/base/clock.ts";
@@ -262,3 +262,66 @@
     });
   }
 });
+
+describe("DirectRouter, an owner that resets new connections", () => {
+  // The pattern: a hot key's owner has a long queue. Guards: a request that the
+  // owner never saw ends with 502, which its caller may not repeat, or is
+  // refused although the owner accepts connections again a moment later.
+  for (
+    const { name, resets, kind } of [
+      {
+        name: "serves a key when one is accepted later",
+        resets: 2,
+        kind: "200",
+      },
+      {
+        name: "refuses truly when none is",
+        resets: 99,
+        kind: "upstream_unavailable",
+      },
+    ]
+  ) {
+    it(name, async () => {
+      const rig = new FleetRig(systemClock, 1);
+      rig.configure([rig.route({ idempotent: false })], [{ keyed: true }]);
+      let left = resets;
+      const server = createServer((socket) => {
+        socket.on("error", () => undefined);
+        socket.on("data", () => behave(socket, "well"));
+        if (left > 0) socket.resetAndDestroy();
+        left--;
+      });
+      const port = await new Promise<number>((resolve) =>
+        server.listen(0, "127.0.0.1", () => {
+          const bound = server.address();
+          resolve(typeof bound === "object" ? bound?.port ?? 0 : 0);
+        })
+      );
+      rig.view.setRegistry([]);
+      rig.upstream({ id: "u-0", address: `127.0.0.1:${port}` });
+      rig.owners({ id: "u-0" });
+      const outcome = await routerOf(rig, 50).handle({
+        requestId: ID,
+        method: "POST",
+        target: "/a/x",
+        host: "h.example",
+        headers: {},
+        body: undefined,
+        receivedAt: systemClock.now(),
+        deadlineMs: 1000,
+        key: 7,
+      }, new AbortController().signal);
+      for (const upstream of rig.view.upstreams) upstream.close();
+      server.close();
+      if (outcome.kind === "refused") {
+        assert.equal(outcome.refusal.outcome, "not_run");
+      }
+      const found = outcome.kind === "answered"
+        ? String(outcome.status)
+        : outcome.kind === "refused"
+        ? outcome.refusal.code
+        : outcome.kind;
+      assert.equal(found, kind);
+    });
+  }
+});
