fix(ranges): tell the next keeper of orders that earlier keepers may send

Cause: a keeper that is cut off from the store renews grants for 12 s. The same hole: a successor that is killed and starts again, and a lost answer to the write that won the lease. Change: the lease's row has earlierOrdersMs and released; a released row is free at once. Before: keeper_lease_test 'hands over how long an earlier keeper may send orders' fails.

--- a/src/ranges/keeper_lease.ts
+++ b/src/ranges/keeper_lease.ts
@@ -10,12 +10,19 @@
   vm: z.string(),
   incarnation: z.string(),
   peerUrl: z.string(),
+  /** The keeper has given the lease up. */
+  released: z.boolean().optional(),
+  /**
+   * For how many milliseconds keepers before this one may send orders. It counts
+   * from the reading, which is later than the writing.
+   */
+  earlierOrdersMs: z.number().nonnegative().optional(),
 });
 type LeaseRow = z.infer<typeof LeaseRow>;
 type Options = {
   store: RowStore;
   table: string;
-  self: Omit<LeaseRow, "schema">;
+  self: Pick<LeaseRow, "vm" | "incarnation" | "peerUrl">;
   /** Processor cores of this VM; undefined if it is not known. */
   cores: number | undefined;
   clock: Clock;
@@ -61,6 +68,8 @@
   #drift = 0;
   /** When the predecessor can have sent its last order. */
   #predecessorEndsAt = Number.NEGATIVE_INFINITY;
+  /** The same for keepers before it, which nobody has asked to yield. */
+  #earlierEndsAt = Number.NEGATIVE_INFINITY;
   #predecessor: LeaseRow | undefined;
 
   /**
@@ -101,7 +110,7 @@
    * @returns monotonic milliseconds after which no earlier keeper sends orders
    */
   get predecessorEndsAt(): number {
-    return this.#predecessorEndsAt;
+    return Math.max(this.#predecessorEndsAt, this.#earlierEndsAt);
   }
 
   /**
@@ -109,7 +118,8 @@
    */
   get keeperUrl(): string | undefined {
     const row = this.#seen?.row;
-    return this.#held || row?.incarnation === this.#opts.self.incarnation
+    const isOther = row?.incarnation !== this.#opts.self.incarnation;
+    return this.#held || !isOther || row?.released === true
       ? undefined
       : row?.peerUrl;
   }
@@ -192,17 +202,28 @@
     if (!this.#held) return;
     const { store, table, logger } = this.#opts;
     const version = this.#seen?.version ?? 0;
+    const row: LeaseRow = { ...this.#row(), released: true };
     this.#lose("given up");
-    const removed = await store.transact({
+    const written = await store.transact({
       expect: [{ table, key: KEY, version }],
-      writes: [],
-      remove: [{ table, key: KEY }],
+      writes: [{ table, key: KEY, value: Buffer.from(JSON.stringify(row)) }],
+      remove: [],
     }, AbortSignal.timeout(TTL_MS));
-    if (removed.isErr()) {
-      logger.warn({ err: removed.error }, "keeper lease not given up");
+    if (written.isErr()) {
+      logger.warn({ err: written.error }, "keeper lease not given up");
     }
   }
 
+  #row(): LeaseRow {
+    const { self, clock } = this.#opts;
+    const earlierOrdersMs = this.predecessorEndsAt - clock.now();
+    return {
+      schema: 1,
+      ...self,
+      ...(earlierOrdersMs > 0 ? { earlierOrdersMs } : {}),
+    };
+  }
+
   #handicapMs(): number {
     return (this.#opts.cores ?? KEEPER_CORES) < KEEPER_CORES ? SMALL_VM_MS : 0;
   }
@@ -243,7 +264,8 @@
     const row = await this.#look();
     const seen = this.#seen;
     if (row === "unknown" || seen === undefined) return false;
-    if (row !== undefined && before?.version !== seen.version) {
+    const isKept = row !== undefined && row.released !== true;
+    if (isKept && before?.version !== seen.version) {
       // The keeper is alive, or was when this row was written.
       this.#suspect = false;
       if (before?.row?.incarnation !== row.incarnation) {
@@ -252,9 +274,17 @@
       }
     }
     const ownEarlier = row?.vm === self.vm;
-    const free = row === undefined || ownEarlier ? 0 : TTL_MS;
-    const expired = clock.now() - seen.since >= free + this.#handicapMs();
+    const ended = !isKept || ownEarlier;
+    const expired = clock.now() - seen.since >=
+      (ended ? 0 : TTL_MS) + this.#handicapMs();
     if (!expired) return false;
+    this.#earlierEndsAt = Math.max(
+      this.#earlierEndsAt,
+      seen.since + (row?.earlierOrdersMs ?? 0),
+    );
+    this.#predecessorEndsAt = ended
+      ? Number.NEGATIVE_INFINITY
+      : clock.now() + GRACE_MS;
     const outcome = await this.#write(seen.version);
     if (outcome.kind !== "applied") return false;
     const now = clock.now();
@@ -262,10 +292,8 @@
     this.#suspect = false;
     this.#confirmedAt = now;
     this.#drift = this.#measureDrift();
-    this.#predecessor = ownEarlier ? undefined : row;
-    this.#predecessorEndsAt = row === undefined || ownEarlier
-      ? now
-      : now + GRACE_MS;
+    this.#predecessor = ended ? undefined : row;
+    this.#predecessorEndsAt = ended ? now : now + GRACE_MS;
     logger.info(
       { version: this.#seen?.version, predecessor: row?.vm },
       "keeper lease won",
@@ -296,8 +324,8 @@
   async #write(
     version: number,
   ): Promise<{ kind: "applied" | "conflict" | "unknown" }> {
-    const { store, table, self, clock, signal, logger } = this.#opts;
-    const row: LeaseRow = { schema: 1, ...self };
+    const { store, table, clock, signal, logger } = this.#opts;
+    const row = this.#row();
     const outcome = await store.transact({
       expect: [{ table, key: KEY, version }],
       writes: [{ table, key: KEY, value: Buffer.from(JSON.stringify(row)) }],
--- a/tests/ranges/keeper_lease_test.ts
+++ b/tests/ranges/keeper_lease_test.ts
@@ -55,6 +55,70 @@
     assert.equal([one, two].filter(({ lease }) => lease.held).length, 1);
   });
 
+  // Guards: a keeper that is cut off goes on renewing; its successor gives the
+  // lease up soon, and the next keeper takes it that nobody sends orders.
+  it("hands over how long an earlier keeper may send orders", async () => {
+    const { start, pass, suspectFor } = rig();
+    const cutOff = start("vm-1");
+    await pass(200);
+    assert.ok(cutOff.lease.held);
+    cutOff.stop();
+    const second = start("vm-2");
+    await suspectFor(second.lease, 4000);
+    const endsAt = second.lease.predecessorEndsAt;
+    assert.ok(second.lease.held);
+    await second.lease.release();
+    second.stop();
+    const third = start("vm-3");
+    await suspectFor(third.lease, 6000);
+    assert.ok(third.lease.held);
+    assert.ok(third.lease.predecessorEndsAt >= endsAt);
+    third.stop();
+  });
+
+  // The same, and the successor ends without notice and starts again.
+  it("counts out an earlier keeper although its successor has yielded", async () => {
+    const { start, pass, suspectFor } = rig();
+    const cutOff = start("vm-1");
+    await pass(200);
+    cutOff.stop();
+    const second = start("vm-2");
+    await suspectFor(second.lease, 4000);
+    assert.ok(second.lease.held);
+    const endsAt = second.lease.predecessorEndsAt;
+    second.stop();
+    const third = start("vm-3");
+    await suspectFor(third.lease, 6000);
+    assert.ok(third.lease.held);
+    third.lease.onPeer("vm-2", "vm-2-2");
+    assert.ok(third.lease.predecessorEndsAt >= endsAt);
+    third.stop();
+  });
+
+  it("is taken at once when a keeper without predecessor gives it up", async () => {
+    const { start, pass } = rig();
+    const first = start("vm-1");
+    await pass(200);
+    await first.lease.release();
+    first.stop();
+    const second = start("vm-2");
+    await pass(300);
+    assert.ok(second.lease.held);
+    assert.ok(second.lease.predecessorEndsAt <= 600);
+  });
+
+  it("is taken by a small VM as well when it was given up", async () => {
+    const { start, pass } = rig();
+    const first = start("vm-1");
+    await pass(200);
+    await first.lease.release();
+    first.stop();
+    const second = start("vm-2", "vm-2-1", 0.27);
+    await pass(1300);
+    assert.ok(second.lease.held);
+    second.stop();
+  });
+
   // The pattern: many VMs of uneven size. Guards against a keeper whose reports
   // and grants take more processor time than its VM has.
   it("goes to a larger VM that starts a little later", async () => {
--- a/tests/soak/soak_run_test.ts
+++ b/tests/soak/soak_run_test.ts
@@ -7,6 +7,7 @@
 
 const TEST_MS = 120_000;
 const SHORT = { routers: 3, upstreams: 4, callers: 8, forMs: 8000 };
+const FULL = { routers: 4, upstreams: 6, callers: 16, forMs: 21_000 };
 const CASES: readonly { name: string; seed: number; size: typeof SHORT }[] = [
   { name: "faults", seed: 2, size: SHORT },
   { name: "planned work alone", seed: 3, size: SHORT },
@@ -15,7 +16,14 @@
     // the keeper gave its keys to another one.
     name: "two holders after a restart under the same id",
     seed: 1009,
-    size: { routers: 4, upstreams: 6, callers: 16, forMs: 21_000 },
+    size: FULL,
+  },
+  {
+    // A keeper gave its lease up, and its successor did not know that the keeper
+    // before it still sent orders.
+    name: "two holders after two changes of the keeper",
+    seed: 3001,
+    size: FULL,
   },
 ];
 
