refactor(upstreams): split waiting, start limit and refusals out of the dispatcher

Ruled out: moving its options to a file of their own, which hides what it depends on. Change: WaitingJobs, StartLimit, refuseAtOnce and jobHeaders.

--- a/src/upstreams/dispatcher.ts
+++ b/src/upstreams/dispatcher.ts
@@ -13,22 +13,24 @@
 import { attemptOutcome } from "./attempt_outcome.ts";
 import { DispatchJob } from "./dispatch_job.ts";
 import type { DispatchOutcome } from "./dispatch_outcome.ts";
-import { DispatchQueue } from "./dispatch_queue.ts";
 import type { DispatchRequest } from "./dispatch_request.ts";
 import { DueTimer } from "./due_timer.ts";
-import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { GrantKeeper } from "./grant_keeper.ts";
 import { HotKeySketch } from "./hot_key_sketch.ts";
 import { IdleLimit } from "./idle_limit.ts";
+import { jobHeaders } from "./job_headers.ts";
 import { OwnedUnits } from "./owned_units.ts";
 import { RateMeter } from "./rate_meter.ts";
+import { refuseAtOnce } from "./refuse_at_once.ts";
 import { refused } from "./refused.ts";
 import { ReleaseProgress } from "./release_progress.ts";
 import { RunningJobs } from "./running_jobs.ts";
+import { StartLimit } from "./start_limit.ts";
 import { ServiceTimeEstimate } from "./service_time_estimate.ts";
 import { UpstreamCondition } from "./upstream_condition.ts";
 import { UpstreamConnections } from "./upstream_connections.ts";
 import { UpstreamExchange } from "./upstream_exchange.ts";
+import { WaitingJobs } from "./waiting_jobs.ts";
 
 type Options = {
   vm: string;
@@ -71,8 +73,6 @@
   /** The tenure has ended for good. */
   | "stopped";
 
-/** The coordinator moves the units of a draining upstream meanwhile. */
-const DRAINING_ACCEPT_MS = 1000;
 const HOT_KEY_SHARE = 0.1;
 const HOT_KEY_MIN_PER_S = 1;
 
@@ -82,7 +82,8 @@
   readonly owned: OwnedUnits;
   readonly #options: Omit<Options, "predecessor">;
   readonly #clock: Clock;
-  readonly #queue = new DispatchQueue<DispatchJob>();
+  readonly #waiting = new WaitingJobs();
+  readonly #startLimit: StartLimit;
   readonly #running: RunningJobs;
   readonly #releases: ReleaseProgress;
   readonly #condition: UpstreamCondition;
@@ -133,6 +134,13 @@
     this.#abandoned = predecessor === undefined
       ? new AbandonedRuns(clock)
       : predecessor.#abandoned;
+    this.#startLimit = new StartLimit({
+      running: this.#running,
+      abandoned: this.#abandoned,
+      condition: this.#condition,
+      slots: () => this.#slots(),
+      clock,
+    });
     this.#connections = new UpstreamConnections({
       address,
       clock,
@@ -214,7 +222,12 @@
     req: DispatchRequest,
     signal: AbortSignal,
   ): Promise<DispatchOutcome> {
-    const refusal = this.#refuseNow(req, signal);
+    const refusal = refuseAtOnce(req, {
+      accepting: this.accepting,
+      lost: this.#condition.lost,
+      drainingSince: this.#condition.drainingSince,
+      callerGone: signal.aborted,
+    }, this.#clock.now());
     if (refusal !== undefined) return Promise.resolve(refusal);
     const unit = req.digest === undefined
       ? undefined
@@ -230,13 +243,13 @@
       this.#hotKeys.add(req.digest);
     }
     const job = new DispatchJob(req, unit, signal);
-    this.#queue.push(job);
+    this.#waiting.add(job);
     this.#pump();
     if (
       job.progress.kind === "queued" &&
-      this.#queue.size > this.#options.cfg().queue
+      this.#waiting.size > this.#options.cfg().queue
     ) {
-      this.#queue.removeAll((other) => other === job);
+      this.#waiting.remove(job);
       return Promise.resolve(refused(
         "queue_full",
         "not_run",
@@ -246,14 +259,7 @@
     }
     if (job.progress.kind === "queued") {
       this.#timer.set(req.deadlineAt);
-      const cancel = () => {
-        if (job.progress.kind !== "queued") return;
-        this.#refuseQueued((other) => other === job, "cancelled");
-      };
-      signal.addEventListener("abort", cancel, { once: true });
-      void job.outcome.then(() => {
-        signal.removeEventListener("abort", cancel);
-      });
+      this.#waiting.watchCaller(job);
     }
     return job.outcome;
   }
@@ -262,7 +268,7 @@
    * @returns milliseconds until a request that arrived now would be answered
    */
   waitMs(): number {
-    const waiting = this.#running.size + this.#queue.size;
+    const waiting = this.#running.size + this.#waiting.size;
     const ms = ServiceTimeEstimate.waitMs(
       waiting,
       this.#slots(),
@@ -285,7 +291,7 @@
       upstream,
       state: this.#condition.state,
       inFlight: this.#running.size,
-      queued: this.#queue.size,
+      queued: this.#waiting.size,
       serviceMs: this.#serviceMs(),
       ratePerS: this.#rate.perSecond(),
     };
@@ -337,7 +343,7 @@
   suspend(): void {
     if (this.#mode === "stopped") return;
     this.#mode = "suspended";
-    this.#refuseQueued(() => true, "not_dispatcher");
+    this.#waiting.refuse(() => true, "not_dispatcher");
   }
 
   /** Accepts requests again, with the same epoch. */
@@ -355,7 +361,7 @@
     if (this.#mode === "draining" || this.#mode === "stopped") return;
     this.#mode = "draining";
     this.#drainingSince = this.#clock.now();
-    this.#refuseQueued(() => true, "not_dispatcher");
+    this.#waiting.refuse(() => true, "not_dispatcher");
     this.#timer.set(this.#drainingSince + this.#options.cfg().maxRunMs);
   }
 
@@ -363,7 +369,7 @@
   stop(): void {
     if (this.#mode === "stopped") return;
     this.#mode = "stopped";
-    this.#refuseQueued(() => true, "not_dispatcher");
+    this.#waiting.refuse(() => true, "not_dispatcher");
     this.#tenure.abort();
     this.#endWhenIdle();
   }
@@ -399,61 +405,20 @@
     return Math.max(median, this.#running.stuckMs(this.#clock.now()));
   }
 
-  #refuseNow(
-    req: DispatchRequest,
-    signal: AbortSignal,
-  ): DispatchOutcome | undefined {
-    const now = this.#clock.now();
-    if (!this.accepting) {
-      return refused(
-        "not_dispatcher",
-        "not_run",
-        "this router is not the dispatcher of the upstream",
-      );
-    }
-    if (signal.aborted) {
-      return refused("upstream_unavailable", "not_run", "the caller went away");
-    }
-    if (req.deadlineAt <= now) {
-      return refused(
-        "deadline_exceeded",
-        "not_run",
-        "the time of the request is over",
-      );
-    }
-    if (this.#condition.lost) {
-      return refused(
-        "upstream_unavailable",
-        "not_run",
-        "the upstream does not answer",
-      );
-    }
-    const since = this.#condition.drainingSince;
-    if (since !== undefined && now - since >= DRAINING_ACCEPT_MS) {
-      return refused("draining", "not_run", "the upstream is draining");
-    }
-    return undefined;
-  }
-
-  #refuseQueued(
-    matches: (job: DispatchJob) => boolean,
-    reason: AttemptAbandoned["reason"],
-  ): void {
-    const err = new AttemptAbandoned(reason);
-    for (const job of this.#queue.removeAll(matches)) {
-      job.settle(attemptOutcome({ kind: "not_sent", err }, 0));
-    }
-  }
-
   /** Starts as many waiting requests as the limits allow. */
   #pump(): void {
-    if (this.#mode !== "live" || this.#queue.size === 0) return;
+    if (this.#mode !== "live" || this.#waiting.size === 0) return;
     if (!this.#leaseRuns()) {
-      this.#refuseQueued(() => true, "not_dispatcher");
+      this.#waiting.refuse(() => true, "not_dispatcher");
       return;
     }
-    while (this.#queue.size > 0 && this.#mayStart()) {
-      const job = this.#queue.take((item) =>
+    while (this.#waiting.size > 0) {
+      const startAt = this.#startLimit.nextStartAt();
+      if (startAt > this.#clock.now()) {
+        this.#timer.set(startAt);
+        return;
+      }
+      const job = this.#waiting.take((item) =>
         item.unit === undefined || this.#keeper?.holds(item.unit) !== false
       );
       if (job === undefined) return;
@@ -461,25 +426,6 @@
     }
   }
 
-  #mayStart(): boolean {
-    const median = this.#condition.estimate.median();
-    const running = this.#running.atUpstream().length;
-    if (running >= this.#slots()) return false;
-    if (!this.#condition.warmUp.isCold(median)) return true;
-    // A request that was given up may still use a cold upstream.
-    const used = running + this.#abandoned.count();
-    if (used >= this.#condition.warmUp.concurrency(median)) {
-      this.#timer.set(this.#abandoned.nextEndAt());
-      return false;
-    }
-    const startAt = this.#condition.warmUp.nextStartAt(median);
-    if (startAt > this.#clock.now()) {
-      this.#timer.set(startAt);
-      return false;
-    }
-    return true;
-  }
-
   async #run(job: DispatchJob): Promise<void> {
     const { connections, maxRunMs } = this.#options.cfg();
     const { req } = job;
@@ -500,7 +446,7 @@
     job.exchange = new UpstreamExchange({
       connection,
       request: req,
-      headers: this.#requestHeaders(job, runMs),
+      headers: jobHeaders(job, this, runMs),
       beforeSend: () => this.#beforeSend(job, runMs),
       onEnded: (err) => {
         job.signal.removeEventListener("abort", cancel);
@@ -520,20 +466,6 @@
     job.settle(outcome);
   }
 
-  #requestHeaders(
-    job: DispatchJob,
-    runMs: number,
-  ): Record<string, string | string[]> {
-    const headers = endToEndHeaders(job.req.headers);
-    // undici sends no request that expects an interim response.
-    delete headers.expect;
-    headers[HOP_HEADER.requestId] = job.req.requestId;
-    headers[HOP_HEADER.epoch] = String(this.epoch);
-    headers[HOP_HEADER.deadlineMs] = String(runMs);
-    if (job.unit !== undefined) headers[HOP_HEADER.unit] = job.unit;
-    return headers;
-  }
-
   /** The last check, right before the first byte is written. */
   #beforeSend(job: DispatchJob, runMs: number): Error | undefined {
     const now = this.#clock.now();
@@ -563,7 +495,7 @@
   }
 
   #onStateChange(): void {
-    if (this.#condition.lost) this.#refuseQueued(() => true, "silent");
+    if (this.#condition.lost) this.#waiting.refuse(() => true, "silent");
     this.#checkReleases();
     this.#options.onChange();
     this.#pump();
@@ -604,14 +536,7 @@
   }
 
   #unitsChanged(): void {
-    for (const job of this.#queue.items()) {
-      if (job.req.digest === undefined) continue;
-      job.unit = this.owned.accepts(job.req.digest);
-    }
-    this.#refuseQueued(
-      (job) => job.req.digest !== undefined && job.unit === undefined,
-      "not_owner",
-    );
+    this.#waiting.reassign((digest) => this.owned.accepts(digest));
     this.#checkReleases();
     this.#releases.regrant();
     this.#pump();
@@ -630,7 +555,7 @@
   /** Handles everything whose time has come; returns the next time. */
   #onDue(): number {
     const now = this.#clock.now();
-    this.#refuseQueued((job) => job.req.deadlineAt <= now, "deadline");
+    this.#waiting.refuse((job) => job.req.deadlineAt <= now, "deadline");
     this.#running.abandonOverdue(
       (ranMs) => this.#condition.estimate.add(ranMs),
       now,
@@ -653,7 +578,7 @@
   #nextDue(): number {
     const now = this.#clock.now();
     const times = this.#running.dueTimes(this.#condition.silenceMs);
-    for (const job of this.#queue.items()) times.push(job.req.deadlineAt);
+    times.push(...this.#waiting.deadlines());
     return Math.min(...times.filter((at) => at > now));
   }
 
