test(direct): what becomes of a request whose caller leaves after the send

Cause: the table of rules named a test of the case before the send only. Ruled out: nothing; the program is unchanged. Before: no test. Conclusion: the row GONE is covered.

--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -325,3 +325,47 @@
     });
   }
 });
+
+describe("DirectRouter, a caller that leaves after the send", () => {
+  // Guards: upstreams go on working for callers that have left, or a request
+  // that may run only once is cut while it runs.
+  for (
+    const { name, idempotent, closed } of [
+      { name: "ends an idempotent request", idempotent: true, closed: true },
+      { name: "lets another one run", idempotent: false, closed: false },
+    ]
+  ) {
+    it(name, async () => {
+      const rig = new FleetRig(systemClock, 1);
+      rig.configure([rig.route({ idempotent })]);
+      const seen = { sent: false, closed: false };
+      const raw = await new RawUpstream((socket) => {
+        seen.sent = true;
+        socket.once("close", () => {
+          seen.closed = true;
+        });
+      }).listen();
+      rig.view.setRegistry([]);
+      rig.upstream({ id: "u-0", address: `127.0.0.1:${raw.port}` });
+      const gone = new AbortController();
+      const outcome = routerOf(rig, 50).handle({
+        requestId: ID,
+        method: "GET",
+        target: "/a/x",
+        host: "h.example",
+        headers: {},
+        body: undefined,
+        receivedAt: systemClock.now(),
+        deadlineMs: 600,
+        key: undefined,
+      }, gone.signal);
+      while (!seen.sent) await systemClock.sleep(5);
+      gone.abort();
+      await systemClock.sleep(150);
+      assert.equal(seen.closed, closed);
+      await outcome;
+      for (const upstream of rig.view.upstreams) upstream.close();
+      raw.close();
+    });
+  }
+});
