refactor(tests): one caller's request and one way to listen

Ruled out: the pairs of the same shape (options of classes), which are no copies. Change: tests/support/test_call.ts; listenOn for HTTP and TCP servers. Before and after: 153 tests of tests/direct, tests/platform and the proxy pass. Conclusion: no behaviour changed.

--- a/dev/soak/loopback_proxy.ts
+++ b/dev/soak/loopback_proxy.ts
@@ -1,4 +1,5 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
+import { listenOn } from "../standins/listen_on.ts";
 import type { LinkFault } from "./link_fault.ts";
 
 type Held = { socket: Socket; data: Buffer | undefined };
@@ -23,12 +24,8 @@
   /**
    * @returns the port to connect to
    */
-  async listen(): Promise<number> {
-    await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", () => resolve())
-    );
-    const bound = this.#server.address();
-    return typeof bound === "object" ? bound?.port ?? 0 : 0;
+  listen(): Promise<number> {
+    return listenOn(this.#server, 0);
   }
 
   /** Ends all connections. */
--- a/dev/standins/listen_on.ts
+++ b/dev/standins/listen_on.ts
@@ -1,8 +1,7 @@
-import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Server } from "node:net";
 
 /**
- * @param server - HTTP server that is not listening yet
+ * @param server - server that is not listening yet
  * @param port - loopback port, 0 for one that the system chooses
  * @returns the port that the server listens on
  */
--- a/tests/direct/attempt_test.ts
+++ b/tests/direct/attempt_test.ts
@@ -3,26 +3,17 @@
 import { createServer, type Socket } from "node:net";
 import { systemClock } from "../../src/base/system_clock.ts";
 import { attempt } from "../../src/direct/attempt.ts";
-import type { CallerCall } from "../../src/direct/caller_call.ts";
+import { listenOn } from "../../dev/standins/listen_on.ts";
 import { httpHeaders } from "../../platform/http_headers.ts";
 import { RawUpstream } from "../support/raw_upstream.ts";
+import { testCall } from "../support/test_call.ts";
 import { testUpstream } from "../support/test_upstream.ts";
 
 const ID = "9c41d07be2a35f68";
 const HEAD = `HTTP/1.1 200 OK\r\nFescuerun-Request-Id: ${ID}\r\n` +
   "Fescuerun-Response-Signature: s\r\n";
 
-const call: CallerCall = {
-  requestId: ID,
-  method: "GET",
-  target: "/a/",
-  host: "h.example",
-  headers: { host: "h.example" },
-  body: undefined,
-  receivedAt: 0,
-  deadlineMs: 5000,
-  key: undefined,
-};
+const call = testCall({ target: "/a/" });
 
 async function send(onRequest: (socket: Socket) => void) {
   const raw = await new RawUpstream(onRequest).listen();
@@ -135,11 +126,7 @@
           () => socket.write(`${HEAD}Content-Length: 0\r\n\r\n`),
         );
       });
-      await new Promise<void>((resolve) =>
-        server.listen(0, "127.0.0.1", () => resolve())
-      );
-      const bound = server.address();
-      const port = typeof bound === "object" ? bound?.port ?? 0 : 0;
+      const port = await listenOn(server, 0);
       const upstream = testUpstream({ address: `127.0.0.1:${port}` });
       const result = await attempt({
         call: { ...call, method: "POST" },
--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import { createServer, type Socket } from "node:net";
 import { describe, it } from "node:test";
+import { listenOn } from "../../dev/standins/listen_on.ts";
 import { httpHeaders } from "../../platform/http_headers.ts";
 import type { Clock } from "../../src/base/clock.ts";
 import { systemClock } from "../../src/base/system_clock.ts";
-import type { CallerCall } from "../../src/direct/caller_call.ts";
 import { DirectMetrics } from "../../src/direct/direct_metrics.ts";
 import { DirectRouter } from "../../src/direct/direct_router.ts";
 import type { Route } from "../../src/direct/route.ts";
@@ -13,6 +13,7 @@
 import { FleetRig } from "../support/fleet_rig.ts";
 import { RawUpstream } from "../support/raw_upstream.ts";
 import { silentLogger } from "../support/silent_logger.ts";
+import { testCall } from "../support/test_call.ts";
 
 type Behaviour = "well" | "shed" | "lose" | "fail" | "misdirect" | "silent";
 
@@ -98,17 +99,11 @@
     });
   }
   const router = routerOf(rig, options.slack ?? 50);
-  const call: CallerCall = {
-    requestId: ID,
+  const call = testCall({
     method: "POST",
-    target: "/a/x",
-    host: "h.example",
-    headers: {},
-    body: undefined,
     receivedAt: systemClock.now(),
     deadlineMs: 700,
-    key: undefined,
-  };
+  });
   const outcome = await router.handle(
     call,
     options.gone ?? new AbortController().signal,
@@ -291,26 +286,19 @@
         if (left > 0) socket.resetAndDestroy();
         left--;
       });
-      const port = await new Promise<number>((resolve) =>
-        server.listen(0, "127.0.0.1", () => {
-          const bound = server.address();
-          resolve(typeof bound === "object" ? bound?.port ?? 0 : 0);
-        })
-      );
+      const port = await listenOn(server, 0);
       rig.view.setRegistry([]);
       rig.upstream({ id: "u-0", address: `127.0.0.1:${port}` });
       rig.owners({ id: "u-0" });
-      const outcome = await routerOf(rig, 50).handle({
-        requestId: ID,
-        method: "POST",
-        target: "/a/x",
-        host: "h.example",
-        headers: {},
-        body: undefined,
-        receivedAt: systemClock.now(),
-        deadlineMs: 1000,
-        key: 7,
-      }, new AbortController().signal);
+      const outcome = await routerOf(rig, 50).handle(
+        testCall({
+          method: "POST",
+          receivedAt: systemClock.now(),
+          deadlineMs: 1000,
+          key: 7,
+        }),
+        new AbortController().signal,
+      );
       for (const upstream of rig.view.upstreams) upstream.close();
       server.close();
       if (outcome.kind === "refused") {
@@ -348,17 +336,10 @@
       rig.view.setRegistry([]);
       rig.upstream({ id: "u-0", address: `127.0.0.1:${raw.port}` });
       const gone = new AbortController();
-      const outcome = routerOf(rig, 50).handle({
-        requestId: ID,
-        method: "GET",
-        target: "/a/x",
-        host: "h.example",
-        headers: {},
-        body: undefined,
-        receivedAt: systemClock.now(),
-        deadlineMs: 600,
-        key: undefined,
-      }, gone.signal);
+      const outcome = routerOf(rig, 50).handle(
+        testCall({ receivedAt: systemClock.now(), deadlineMs: 600 }),
+        gone.signal,
+      );
       while (!seen.sent) await systemClock.sleep(5);
       gone.abort();
       await systemClock.sleep(150);
--- a/tests/direct/forgotten_connections_test.ts
+++ b/tests/direct/forgotten_connections_test.ts
@@ -2,11 +2,11 @@
 import { describe, it } from "node:test";
 import { systemClock } from "../../src/base/system_clock.ts";
 import { attempt } from "../../src/direct/attempt.ts";
-import type { CallerCall } from "../../src/direct/caller_call.ts";
 import type { Upstream } from "../../src/direct/upstream.ts";
 import { IdleLimit } from "../../src/upstreams/idle_limit.ts";
 import { httpHeaders } from "../../platform/http_headers.ts";
 import { RawUpstream } from "../support/raw_upstream.ts";
+import { testCall } from "../support/test_call.ts";
 import { testUpstream } from "../support/test_upstream.ts";
 
 const ID = "9c41d07be2a35f68";
@@ -16,17 +16,7 @@
 const REST_MS = 400;
 const UPSTREAMS = 4;
 
-const call: CallerCall = {
-  requestId: ID,
-  method: "POST",
-  target: "/a/",
-  host: "h.example",
-  headers: { host: "h.example" },
-  body: undefined,
-  receivedAt: 0,
-  deadlineMs: 5000,
-  key: undefined,
-};
+const call = testCall({ method: "POST" });
 
 /** Resets a connection whose next request comes after it has rested. */
 async function forgetful(): Promise<RawUpstream> {
