fix(platform): one value that cannot be used takes only its own part away

Ruled out: leaving an unusable route out of the matcher, since its requests would be run by the service of a shorter prefix, or be answered 404; ending the process on an unhandled rejection, since the same row would end its successor.

Change: configuration parts are decoded one by one; an unusable route refuses its requests with 503, an unknown kind runs at most once, a version with no usable route keeps the last one. What passes the row decoders is typed: a checked IPv4 address and port, a header-safe id, bounded times and slots. Each long task restarts after an error (runTask), each order ends in an outcome, and a last handler logs and counts unhandled errors and goes on: ownership is fenced by the store and the upstreams, and a request ends at its deadline.

Failed first on: whole_path_test "serves beside registry rows that name no usable upstream" (Invalid URL), leader_lease_test (3 spoiled rows), table_follower_test "follows further changes after its receiver has failed".

--- a/src/base/system_clock.ts
+++ b/src/base/system_clock.ts
@@ -1,5 +1,8 @@
 import type { Clock } from "./clock.ts";
 
+/** `setTimeout` fires at once if its delay is longer. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** The clock of the operating system. */
 export const systemClock: Clock = {
   now: () => performance.now(),
@@ -15,7 +18,7 @@
         signal?.removeEventListener("abort", end);
         resolve();
       };
-      const timer = setTimeout(end, ms);
+      const timer = setTimeout(end, Math.min(ms, MAX_TIMER_MS));
       signal?.addEventListener("abort", end, { once: true });
     });
   },
--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -2,6 +2,7 @@
 import { setMaxListeners } from "node:events";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
+import { runTask } from "../base/run_task.ts";
 import { FleetRetryBudget } from "../limits/fleet_retry_budget.ts";
 import { PeerListener } from "../links/peer_listener.ts";
 import { rpcServer } from "../links/rpc_server.ts";
@@ -264,14 +265,20 @@
     }
     await this.#callerListener.listen(cfg.listen.callers);
     logger.info({ listen: cfg.listen }, "router started");
+    const run = (name: string, task: () => Promise<void>) =>
+      runTask(
+        { ...this.#opts, name, onError: this.#onTaskError },
+        signal,
+        task,
+      );
     const tasks = Promise.all([
-      this.#operatorsFollower.run(signal),
-      this.#registryFollower.run(signal),
-      this.#rangesFollower.run(signal),
-      this.#lease.run(),
+      run("operators feed", () => this.#operatorsFollower.run(signal)),
+      run("registry feed", () => this.#registryFollower.run(signal)),
+      run("key owners feed", () => this.#rangesFollower.run(signal)),
+      run("leader lease", () => this.#lease.run()),
       this.#rangeController.run(),
-      this.#relay.run(),
-      this.#runPeriodicTasks(),
+      run("relay", () => this.#relay.run()),
+      run("periodic tasks", () => this.#runPeriodicTasks()),
     ]);
     if (!stop.aborted) {
       await new Promise((resolve) =>
@@ -320,6 +327,9 @@
     }
   }
 
+  readonly #onTaskError = (place: string): void =>
+    this.#opts.metrics.unexpectedErrors.inc({ place });
+
   #isReady(): boolean {
     const { clock, logger } = this.#opts;
     const { config } = this.#view;
--- a/src/direct/direct_metrics.ts
+++ b/src/direct/direct_metrics.ts
@@ -51,6 +51,27 @@
     help: "1 on the VM that assigns key ranges.",
     registers: [this.registry],
   });
+  /** Parts of the newest configuration that are not in use. */
+  readonly configProblems = new Gauge({
+    name: "fescuerun_config_problems",
+    help:
+      "Parts of the newest configuration that cannot be used; 1 if it has no usable part.",
+    registers: [this.registry],
+  });
+  /** Rows of the store that cannot be used, by table. */
+  readonly invalidRows = new Counter({
+    name: "fescuerun_invalid_rows_total",
+    help: "Rows of the store that could not be used when they were read.",
+    labelNames: ["table"] as const,
+    registers: [this.registry],
+  });
+  /** Errors that ended one task or request and nothing else, by place. */
+  readonly unexpectedErrors = new Counter({
+    name: "fescuerun_unexpected_errors_total",
+    help: "Unexpected errors that did not end the process, by place.",
+    labelNames: ["place"] as const,
+    registers: [this.registry],
+  });
   /** Log lines that were dropped. */
   readonly droppedLogLines = new Counter({
     name: "fescuerun_log_lines_dropped_total",
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -80,6 +80,8 @@
  * retry delay for callers that are refused because it has not been read.
  */
 const MAX_STARTUP_WAIT_MS = 400;
+/** The operators have to write another configuration first. */
+const UNUSABLE_ROUTE_RETRY_AFTER_MS = 5000;
 /** Retry delay for refused callers if the refusal itself gives none. */
 const DEFAULT_RETRY_AFTER_MS = 250;
 
@@ -120,12 +122,24 @@
         call,
         "router_not_current",
         "no configuration yet",
+        MAX_STARTUP_WAIT_MS,
       );
     }
-    const route = view.matcher.match(call.host, call.target);
-    if (route === undefined) {
-      return this.#refuseUnrouted(call, "unknown_entry", "no route matches");
+    const match = view.matcher.match(call.host, call.target);
+    switch (match.kind) {
+      case "none":
+        return this.#refuseUnrouted(call, "unknown_entry", "no route matches");
+      case "unusable":
+        return this.#refuseUnrouted(
+          call,
+          "upstream_unavailable",
+          "the configuration of the route cannot be used",
+          UNUSABLE_ROUTE_RETRY_AFTER_MS,
+        );
+      case "route":
+        break;
     }
+    const { route } = match;
     const service = this.#splitter.next(route);
     const keyed = view.policy(service)?.keyed ?? false;
     if (keyed && call.key !== undefined) this.#opts.countKey(service, call.key);
@@ -410,6 +424,7 @@
     call: CallerCall,
     code: RefusalCode,
     message: string,
+    retryAfterMs?: number,
   ): CallOutcome {
     const { logger, metrics, view } = this.#opts;
     metrics.requests.inc({ service: "", outcome: code });
@@ -421,9 +436,7 @@
     return {
       kind: "refused",
       refusal: { code, outcome: "not_run", message },
-      retryAfterMs: code === "router_not_current"
-        ? MAX_STARTUP_WAIT_MS
-        : undefined,
+      retryAfterMs,
     };
   }
 
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -207,7 +207,7 @@
     const before = this.#config?.version;
     if (before !== undefined && config.version <= before) return;
     this.#config = config;
-    this.#matcher = new RouteMatcher(config.routes);
+    this.#matcher = new RouteMatcher(config.routes, config.unusableRoutes);
     this.#policies = new Map(
       config.services.map((policy) => [policy.name, policy]),
     );
--- a/src/direct/route.ts
+++ b/src/direct/route.ts
@@ -1,11 +1,21 @@
 import { z } from "zod";
 
+const MAX_NAME_LENGTH = 200;
+/** Far above the ratios that operators use; the sum of weights stays exact. */
+const MAX_WEIGHT = 1e9;
+
+const Name = z.string().min(1).max(MAX_NAME_LENGTH);
+const Part = z.object({
+  service: Name,
+  weight: z.number().nonnegative().max(MAX_WEIGHT),
+});
+
 /** How requests for one path prefix of one host are served. */
 export const Route = z.object({
-  name: z.string(),
+  name: Name,
   host: z.string(),
   /** Path prefix; starts and ends with a slash. */
-  prefix: z.string(),
+  prefix: z.string().regex(/^\/(.*\/)?$/s),
   /** Whether a request may run more than once. */
   idempotent: z.boolean(),
   /** Longest time until a request is answered or refused. */
@@ -19,10 +29,10 @@
   /**
    * Services among which the route's requests are split, with their weights.
    */
-  parts: z.array(z.object({
-    service: z.string(),
-    weight: z.number().nonnegative(),
-  })).min(1),
+  parts: z.array(Part).refine(
+    (parts) => parts.some(({ weight }) => weight > 0),
+    "no service has a positive weight",
+  ),
   /** Regions whose upstreams may serve the request; empty means all. */
   homeRegions: z.array(z.string()),
 });
--- a/src/direct/routing_config.ts
+++ b/src/direct/routing_config.ts
@@ -6,6 +6,11 @@
 export const RoutingConfig = z.object({
   version: z.number().int().nonnegative(),
   routes: z.array(Route),
+  /**
+   * Routes that cannot be used. Their requests are refused and must not fall to
+   * a route with a shorter prefix.
+   */
+  unusableRoutes: z.array(Route.pick({ host: true, prefix: true })),
   services: z.array(ServicePolicy),
   requests: z.object({
     maxHeaderBytes: z.number().int().positive(),
--- a/src/direct/service_policy.ts
+++ b/src/direct/service_policy.ts
@@ -1,8 +1,10 @@
 import { z } from "zod";
 
+const MAX_NAME_LENGTH = 200;
+
 /** What operators configure for the upstreams of one service. */
 export const ServicePolicy = z.object({
-  name: z.string(),
+  name: z.string().min(1).max(MAX_NAME_LENGTH),
   healthPath: z.string(),
   /** Connections that an upstream accepts from all VMs together. */
   maxConnections: z.number().int().positive(),
--- a/src/ranges/leader_lease.ts
+++ b/src/ranges/leader_lease.ts
@@ -5,6 +5,9 @@
 import type { RowStore } from "../rows/row_store.ts";
 import { waitForChange } from "../vms/wait_for_change.ts";
 
+/** Above the order grace period of several leaders in a row. */
+const MAX_EARLIER_ORDERS_MS = 60_000;
+
 const LeaseRow = z.object({
   schema: z.literal(1),
   vm: z.string(),
@@ -16,7 +19,8 @@
    * Milliseconds for which earlier leaders may still send orders. Readers count
    * from the time at which they read the row, which is later than the write.
    */
-  earlierOrdersMs: z.number().nonnegative().optional(),
+  earlierOrdersMs: z.number().nonnegative().max(MAX_EARLIER_ORDERS_MS)
+    .optional(),
 });
 type LeaseRow = z.infer<typeof LeaseRow>;
 type Options = {
@@ -289,14 +293,16 @@
     const row = await this.#readRow();
     const observed = this.#observed;
     if (row === "unknown" || observed === undefined) return false;
-    const isHeld = row !== undefined && row.released !== true;
+    // A row that another writer has spoiled may have a leader.
+    const isSpoiled = row === undefined && observed.version > 0;
+    const isHeld = isSpoiled || (row !== undefined && row.released !== true);
     if (isHeld && before?.version !== observed.version) {
       // The leader has written its row since the last read.
       this.#leaderUnreachable = false;
-      if (before?.row?.incarnation !== row.incarnation) {
+      if (before?.row?.incarnation !== row?.incarnation) {
         this.changed.notify();
         logger.info(
-          { keeper: row.vm, version: observed.version },
+          { keeper: row?.vm, version: observed.version },
           "found the leader in the store",
         );
       }
@@ -308,7 +314,8 @@
     if (!expired) return false;
     this.#earlierLeadersEndAt = Math.max(
       this.#earlierLeadersEndAt,
-      observed.firstReadAt + (row?.earlierOrdersMs ?? 0),
+      observed.firstReadAt +
+        (isSpoiled ? ORDER_GRACE_MS : row?.earlierOrdersMs ?? 0),
     );
     this.#predecessorEndsAt = ended
       ? Number.NEGATIVE_INFINITY
--- a/src/ranges/range_controller.ts
+++ b/src/ranges/range_controller.ts
@@ -2,6 +2,7 @@
 import type { z } from "zod";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
+import { runTask } from "../base/run_task.ts";
 import type { DirectMetrics } from "../direct/direct_metrics.ts";
 import type { FleetView } from "../direct/fleet_view.ts";
 import type { RpcHandler } from "../links/rpc_handler.ts";
@@ -121,10 +122,21 @@
 
   /** Sends reports, and assigns ranges while this VM is the leader. */
   async run(): Promise<void> {
+    const { signal, metrics } = this.#opts;
+    const run = (name: string, task: () => Promise<void>) =>
+      runTask(
+        {
+          ...this.#opts,
+          name,
+          onError: (place) => metrics.unexpectedErrors.inc({ place }),
+        },
+        signal,
+        task,
+      );
     await Promise.all([
-      this.#runTerms(),
-      this.#sendReports(),
-      this.#askPredecessorToStepDown(),
+      run("leader terms", () => this.#runTerms()),
+      run("key reports", () => this.#sendReports()),
+      run("predecessor", () => this.#askPredecessorToStepDown()),
     ]);
   }
 
--- a/src/ranges/range_orders.ts
+++ b/src/ranges/range_orders.ts
@@ -150,18 +150,42 @@
         inFlight: false,
         stale: false,
       };
-    renewal.inFlight = true;
-    renewal.lastAttemptAt = now;
     this.#renewals.set(key, renewal);
-    void this.#grant(range, upstream, undefined, signal).then((result) => {
-      renewal.inFlight = false;
-      if (result === "granted") renewal.grantedAt = now;
+    void this.#renew(renewal, range, upstream, signal);
+  }
+
+  async #renew(
+    renewal: Renewal,
+    range: KeyRange,
+    upstream: Upstream,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const startedAt = this.#opts.clock.now();
+    renewal.inFlight = true;
+    renewal.lastAttemptAt = startedAt;
+    try {
+      const result = await this.#grant(range, upstream, undefined, signal);
+      if (result === "granted") renewal.grantedAt = startedAt;
       // Another leader has used a higher token, which the row contains.
       if (result === "stale") {
         renewal.stale = true;
         this.#opts.onStale();
       }
-    });
+    } catch (err) {
+      this.#onUnexpectedError(err, range);
+    } finally {
+      renewal.inFlight = false;
+    }
+  }
+
+  /** An order that cannot be sent must end neither the others nor the process. */
+  #onUnexpectedError(err: unknown, { owner, first, last }: KeyRange): void {
+    const { logger, metrics, service } = this.#opts;
+    metrics.unexpectedErrors.inc({ place: "order" });
+    logger.error(
+      { err, service, upstream: owner.id, first, last },
+      "order of keys failed",
+    );
   }
 
   async #grant(
@@ -214,10 +238,19 @@
     const { fence } = range;
     if (this.#activeMoves.has(fence) || this.#completedMoves.has(fence)) return;
     this.#activeMoves.add(fence);
-    void this.#move(range, signal).then((completed) => {
-      this.#activeMoves.delete(fence);
-      if (completed) this.#completedMoves.add(fence);
-    });
+    void this.#runMove(range, signal);
+  }
+
+  async #runMove(range: KeyRange, signal: AbortSignal): Promise<void> {
+    try {
+      const completed = await this.#move(range, signal);
+      if (completed) this.#completedMoves.add(range.fence);
+    } catch (err) {
+      this.#onUnexpectedError(err, range);
+      await this.#opts.clock.sleep(ORDER_RETRY_DELAY_MS, signal);
+    } finally {
+      this.#activeMoves.delete(range.fence);
+    }
   }
 
   /**
--- a/src/ranges/service_ranges.ts
+++ b/src/ranges/service_ranges.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
+import { runTask } from "../base/run_task.ts";
 import type { DirectMetrics } from "../direct/direct_metrics.ts";
 import type { FleetView } from "../direct/fleet_view.ts";
 import type { RowStore } from "../rows/row_store.ts";
@@ -73,7 +74,21 @@
    * @param signal - aborts when the leader lease is lost or the process stops
    */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.#assign(signal), this.#orders.run(signal)]);
+    const { service, metrics } = this.#opts;
+    const run = (name: string, task: () => Promise<void>) =>
+      runTask(
+        {
+          ...this.#opts,
+          name: `${name} of ${service}`,
+          onError: () => metrics.unexpectedErrors.inc({ place: name }),
+        },
+        signal,
+        task,
+      );
+    await Promise.all([
+      run("key assignment", () => this.#assign(signal)),
+      run("key orders", () => this.#orders.run(signal)),
+    ]);
   }
 
   /** Plans the owners of keys and writes them to the store. */
--- a/src/rows/table_follower.ts
+++ b/src/rows/table_follower.ts
@@ -243,7 +243,7 @@
     this.#versionChangedAt = this.#opts.clock.now();
     this.#history.reset(read.value.version);
     this.#onReadSucceeded();
-    onSnapshot(read.value.rows);
+    this.#deliver(() => onSnapshot(read.value.rows));
     return undefined;
   }
 
@@ -270,7 +270,17 @@
     }
     if (fresh.length === 0) return;
     this.#history.add(fresh);
-    this.#opts.onChanges(fresh);
+    this.#deliver(() => this.#opts.onChanges(fresh));
+  }
+
+  /** A receiver that fails must not end the feed for all later changes. */
+  #deliver(call: () => void): void {
+    const { table, logger } = this.#opts;
+    try {
+      call();
+    } catch (err) {
+      logger.error({ err, table }, "changes of a table could not be applied");
+    }
   }
 
   #onReadSucceeded(): void {
--- a/tests/direct/fleet_view_test.ts
+++ b/tests/direct/fleet_view_test.ts
@@ -8,7 +8,7 @@
     rig.configure([rig.route()], [{}], 5);
     rig.configure([], [{}], 4);
     assert.equal(rig.view.config?.version, 5);
-    assert.ok(rig.view.matcher.match("h.example", "/a/b") !== undefined);
+    assert.equal(rig.view.matcher.match("h.example", "/a/b").kind, "route");
   });
 
   it("removes an upstream whose registry entry is deleted", () => {
--- a/tests/platform/whole_path_test.ts
+++ b/tests/platform/whole_path_test.ts
@@ -1,63 +1,10 @@
 import assert from "node:assert/strict";
-import { createServer } from "node:http";
 import { describe, it } from "node:test";
-import { GrantClient } from "../../platform/grant_client.ts";
-import { httpHeaders } from "../../platform/http_headers.ts";
-import { OperatorRows } from "../../platform/operator_rows.ts";
-import { RegistryRows } from "../../platform/registry_rows.ts";
-import { TableClient } from "../../platform/table_client.ts";
-import { systemClock } from "../../src/base/system_clock.ts";
-import { DirectDaemon } from "../../src/direct/direct_daemon.ts";
-import { DirectMetrics } from "../../src/direct/direct_metrics.ts";
-import { freePorts } from "../../dev/deployment/free_ports.ts";
-import { RowStoreServer } from "../../platform/standins/row_store_server.ts";
-import { MemoryRowStore } from "../../dev/standins/memory_row_store.ts";
+import { startKeyedUpstream } from "../support/keyed_upstream.ts";
+import { PlatformRouter } from "../support/platform_router.ts";
 import { RawCaller } from "../support/raw_caller.ts";
-import { silentLogger } from "../support/silent_logger.ts";
 
 const TEST_TIMEOUT_MS = 30_000;
-const POLL_INTERVAL_MS = 50;
-
-type Grant = { from: number; target: number; fence: number };
-
-/** Starts an upstream that answers requests only for keys granted to it. */
-async function startUpstream() {
-  const grants: Grant[] = [];
-  const server = createServer((req, res) => {
-    const chunks: Buffer[] = [];
-    req.on("data", (chunk: Buffer) => chunks.push(chunk));
-    req.on("end", () => {
-      if (req.url === "/api/grant") {
-        grants.push(
-          JSON.parse(Buffer.concat(chunks).toString()) as Grant,
-        );
-        res.end();
-        return;
-      }
-      const id = String(req.headers["fescuerun-request-id"]);
-      const key = Number(req.headers["fescuerun-shard-key"]);
-      const held = grants.some(({ from, target }) =>
-        from <= key && key <= target
-      );
-      if (!held) {
-        res.writeHead(421, { "fescuerun-not-executed": "1" }).end();
-        return;
-      }
-      res.writeHead(200, {
-        "fescuerun-request-id": id,
-        "fescuerun-response-signature": `s-${id}`,
-        "fescuerun-server-load": "1,0,2,100",
-      });
-      res.end(`${req.method} ${req.url}`);
-    });
-  });
-  await new Promise<void>((resolve) =>
-    server.listen(0, "127.0.0.1", () => resolve())
-  );
-  const bound = server.address();
-  const port = typeof bound === "object" ? bound?.port ?? 0 : 0;
-  return { port, grants, close: () => server.close() };
-}
 
 function config(version: number) {
   return JSON.stringify({
@@ -92,109 +39,120 @@
   });
 }
 
-describe("a router on the platform", () => {
-  it(
-    "starts from the store, grants keys, serves requests and stops",
-    { timeout: TEST_TIMEOUT_MS },
-    async () => {
-      const memory = new MemoryRowStore(systemClock);
-      const http = await new RowStoreServer(memory).listen();
-      const upstream = await startUpstream();
-      memory.put("op", "config", config(1));
-      memory.put(
-        "servers",
-        "i-1",
-        JSON.stringify({
-          service: "s1",
-          address: `127.0.0.1:${upstream.port}`,
-          zone: "a1",
-          slots: 2,
-          state: "ready",
-          warmupRemaining: "0ms",
-          born: 1,
-        }),
-      );
-      const [callers = 0, readiness = 0, peers = 0] = await freePorts(3);
-      const logger = silentLogger();
-      const store = new TableClient(`127.0.0.1:${http.port}`);
-      const daemon = new DirectDaemon({
-        cfg: {
-          vm: "vm-1",
-          region: "a",
-          failureDomain: "a1",
-          regionOf: new Map([["a1", "a"]]),
-          listen: {
-            callers: `127.0.0.1:${callers}`,
-            readiness: `127.0.0.1:${readiness}`,
-            peers: `127.0.0.1:${peers}`,
-            metrics: undefined,
-          },
-          stopMs: 2000,
-          retries: { ratio: 0.2, windowMs: 10_000, slack: 60 },
-          maxHoldMs: 10_000,
-          cores: undefined,
-        },
-        clock: systemClock,
-        logger,
-        metrics: new DirectMetrics(),
-        store,
-        protocol: httpHeaders,
-        readinessPath: "/api/ready",
-        peerCredential: "c",
-        grants: (signal) => new GrantClient(systemClock, signal),
-        sources: (view) => {
-          const operators = new OperatorRows(view, logger);
-          const registry = new RegistryRows(view, logger);
-          return {
-            operators: {
-              table: "op",
-              onSnapshot: (rows) => operators.onSnapshot(rows),
-              onChanges: (changes) => operators.onChanges(changes),
-            },
-            registry: {
-              table: "servers",
-              onSnapshot: (rows) => registry.onSnapshot(rows),
-              onChanges: (changes) => registry.onChanges(changes),
-            },
-          };
-        },
-      });
-      const stop = new AbortController();
-      const ended = daemon.run(stop.signal);
-      const isReady = async () => {
-        try {
-          const url = `http://127.0.0.1:${readiness}/api/ready`;
-          return (await fetch(url)).status === 200;
-        } catch {
-          return false; // not listening yet
-        }
-      };
-      while (upstream.grants.length === 0 || !await isReady()) {
-        await systemClock.sleep(POLL_INTERVAL_MS);
-      }
-      const request = (id: string) =>
-        `POST /a/x?y=1 HTTP/1.1\r\nHost: h.example\r\n` +
-        `Fescuerun-Request-Id: ${id}\r\nFescuerun-Shard-Key: 77\r\n` +
-        "Fescuerun-Request-Deadline: 2000\r\nContent-Length: 2\r\n\r\nhi";
-      const caller = new RawCaller(callers).write(request("id-1"));
-      const text = await caller.until(/POST \/a\/x\?y=1$/);
-      assert.match(text, /^HTTP\/1.1 200 /);
-      assert.match(text, /fescuerun-response-signature: s-id-1\r\n/i);
-      const unknown = new RawCaller(callers).write(
-        "GET /nowhere/ HTTP/1.1\r\nHost: h.example\r\n\r\n",
-      );
-      assert.match(await unknown.until(/\}$/), /^HTTP\/1.1 404 /);
-      stop.abort();
-      assert.ok(!await isReady());
-      // A request on a connection that is already open is still served.
-      caller.text = "";
-      caller.write(request("id-2"));
-      assert.match(await caller.until(/y=1$/), /connection: close/i);
-      await ended;
-      await caller.closed();
-      await store.close();
-      upstream.close();
-      http.close();
-    },
-  );
+function registryRow(port: number, fields: Record<string, unknown> = {}) {
+  return JSON.stringify({
+    service: "s1",
+    address: `127.0.0.1:${port}`,
+    zone: "a1",
+    slots: 2,
+    state: "ready",
+    warmupRemaining: "0ms",
+    born: 1,
+    ...fields,
+  });
+}
+
+function request(id: string) {
+  return `POST /a/x?y=1 HTTP/1.1\r\nHost: h.example\r\n` +
+    `Fescuerun-Request-Id: ${id}\r\nFescuerun-Shard-Key: 77\r\n` +
+    "Fescuerun-Request-Deadline: 2000\r\nContent-Length: 2\r\n\r\nhi";
+}
+
+describe("a router on the platform", { timeout: TEST_TIMEOUT_MS }, () => {
+  it("starts from the store, grants keys, serves requests and stops", async () => {
+    const upstream = await startKeyedUpstream();
+    const router = await PlatformRouter.start([
+      ["op", "config", config(1)],
+      ["servers", "i-1", registryRow(upstream.port)],
+    ]);
+    await router.until(() => upstream.grants.length > 0);
+    const caller = new RawCaller(router.port).write(request("id-1"));
+    const text = await caller.until(/POST \/a\/x\?y=1$/);
+    assert.match(text, /^HTTP\/1.1 200 /);
+    assert.match(text, /fescuerun-response-signature: s-id-1\r\n/i);
+    const unknown = new RawCaller(router.port).write(
+      "GET /nowhere/ HTTP/1.1\r\nHost: h.example\r\n\r\n",
+    );
+    assert.match(await unknown.until(/\}$/), /^HTTP\/1.1 404 /);
+    router.stop();
+    assert.ok(!await router.isReady());
+    // A request on a connection that is already open is still served.
+    caller.text = "";
+    caller.write(request("id-2"));
+    assert.match(await caller.until(/y=1$/), /connection: close/i);
+    await router.close();
+    await caller.closed();
+    upstream.close();
+  });
+
+  // Guards against one row of another writer that ends every leader, since the
+  // next one reads it too.
+  it("serves beside registry rows that name no usable upstream", async () => {
+    const upstream = await startKeyedUpstream();
+    const { port } = upstream;
+    const rejections: unknown[] = [];
+    const onRejection = (err: unknown) => rejections.push(err);
+    process.on("unhandledRejection", onRejection);
+    const odd: [string, string][] = [
+      ["port-out-of-range", registryRow(99_999)],
+      ["port-0", registryRow(0)],
+      ["no-address", registryRow(port, { address: "999.1.1.1:80" })],
+      ["dots", registryRow(port, { address: "....:80" })],
+      ["id\nwith a line break", registryRow(port)],
+      ["\u540d", registryRow(port)],
+      ["__proto__", registryRow(port, { service: "__proto__" })],
+      ["long", registryRow(port, { warmupRemaining: `${"9".repeat(23)}ms` })],
+      ["many-slots", registryRow(port, { slots: 9e15 })],
+      ["nested", "[".repeat(60_000)],
+      ["deep", `{"service":${"[".repeat(30_000)}${"]".repeat(30_000)}}`],
+    ];
+    const router = await PlatformRouter.start([
+      ["op", "config", config(1)],
+      ...odd.map(([key, row]) => ["servers", key, row] as const),
+      ["servers", "i-1", registryRow(port)],
+    ]);
+    await router.until(() =>
+      upstream.grants.some(({ from, target }) => from <= 77 && 77 <= target)
+    );
+    // The rows change and a good row is written after them.
+    for (const [key, row] of odd) router.memory.put("servers", key, row + " ");
+    router.memory.put("op", "config", config(2));
+    const caller = new RawCaller(router.port).write(request("id-1"));
+    assert.match(await caller.until(/y=1$/), /^HTTP\/1.1 200 /);
+    await router.close();
+    process.off("unhandledRejection", onRejection);
+    upstream.close();
+    assert.deepEqual(rejections, []);
+    const text = await router.metrics.registry.metrics();
+    assert.match(text, /fescuerun_invalid_rows_total\{table="servers"\} \d/);
+  });
+
+  // Guards against a route of a kind that this version does not know, which
+  // once took the whole configuration away.
+  it("serves the other routes of a configuration with an unusable one", async () => {
+    const upstream = await startKeyedUpstream();
+    const value = JSON.parse(config(1)) as {
+      hosts: { paths: Record<string, unknown>[] }[];
+    };
+    const paths = value.hosts[0]!.paths;
+    const [known] = paths;
+    paths.push({ ...known, name: "r2", prefix: "/b/", kind: "upload" });
+    paths.push({ ...known, name: "r3", prefix: "/a/b/", timeout: "soon" });
+    const router = await PlatformRouter.start([
+      ["op", "config", JSON.stringify(value)],
+      ["servers", "i-1", registryRow(upstream.port)],
+    ]);
+    await router.until(() => upstream.grants.length > 0);
+    const statusOf = async (target: string) => {
+      const caller = new RawCaller(router.port)
+        .write(request("id-1").replace("/a/x?y=1", target));
+      return (await caller.until(/\r\n\r\n.+$/s)).slice(9, 12);
+    };
+    assert.equal(await statusOf("/a/x"), "200");
+    assert.equal(await statusOf("/b/x"), "200");
+    // Not run by the route with the shorter prefix, and not 404.
+    assert.equal(await statusOf("/a/b/x"), "503");
+    await router.close();
+    upstream.close();
+  });
 });
--- a/tests/ranges/leader_lease_test.ts
+++ b/tests/ranges/leader_lease_test.ts
@@ -96,6 +96,38 @@
     third.stop();
   });
 
+  // Guards against a new leader that assumes that no one else sends orders
+  // because another writer has spoiled the row of the present one.
+  const spoiled = [
+    "{]",
+    "[".repeat(10_000),
+    JSON.stringify({
+      schema: 1,
+      vm: "vm-1",
+      incarnation: "vm-1-1",
+      peerUrl: "http://vm-1",
+      released: true,
+      earlierOrdersMs: 1e300,
+    }),
+  ];
+  for (const value of spoiled) {
+    it(`waits for the orders of an unknown leader after ${value.slice(0, 9)}`, async () => {
+      const { clock, store, start, advance, reportUnreachableFor } =
+        createRig();
+      const first = start("vm-1");
+      await advance(200);
+      first.stop();
+      store.put("keeper", "keeper", value);
+      const second = start("vm-2");
+      await advance(200);
+      assert.ok(!second.lease.held);
+      await reportUnreachableFor(second.lease, 6000);
+      assert.ok(second.lease.held);
+      assert.ok(second.lease.predecessorOrdersEndAt > clock.now() + 9000);
+      second.stop();
+    });
+  }
+
   it("is acquired within 300 ms after a leader without predecessor releases it", async () => {
     const { start, advance } = createRig();
     const first = start("vm-1");
--- a/tests/rows/table_follower_test.ts
+++ b/tests/rows/table_follower_test.ts
@@ -60,6 +60,24 @@
     end.abort();
   });
 
+  // Guards against one row of another writer that ends the feed for all others.
+  it("follows further changes after its receiver has failed", async () => {
+    const { store, rows, follower, end, advance } = createRig();
+    const run = follower.run(end.signal);
+    await advance(100);
+    rows.set = () => {
+      throw new Error("unexpected value");
+    };
+    store.put("t", "a", "odd");
+    await advance(100);
+    Reflect.deleteProperty(rows, "set");
+    store.put("t", "b", "good");
+    await advance(100);
+    assert.equal(rows.get("b"), "good");
+    end.abort();
+    await run;
+  });
+
   // Guards against keeping a row forever that was removed in a change which the
   // store no longer has.
   it("reads the table again when the store has dropped its history", async () => {
--- a/tests/support/fleet_rig.ts
+++ b/tests/support/fleet_rig.ts
@@ -50,6 +50,7 @@
     version = 1,
   ): RoutingConfig {
     const config: RoutingConfig = {
+      unusableRoutes: [],
       version,
       routes,
       services: services.map((fields) => ({
--- a/tests/support/range_rig.ts
+++ b/tests/support/range_rig.ts
@@ -31,6 +31,7 @@
     view.setConfig({
       version: 1,
       routes: [],
+      unusableRoutes: [],
       services: [{
         name: SERVICE,
         healthPath: "/health",
