feat(direct): take Server-Leaving and Retry-After of upstreams into account

Change: - An answer with Server-Leaving, of any status, withdraws the upstream at this VM until another incarnation registers. The view keeps that by id and incarnation, so a stale row, a re-read registry and a late relay change nothing. The owner of keys gets requests for 1.2 s more, as when it drains; the leader learns of it from answers to grants (every third of a lease) and from the reports of other VMs, and moves the keys. - A 503 with Retry-After stops all sends to that upstream from this VM for the time asked, 300 s at most; other texts than seconds are ignored. If all that could serve are paused, a request waits up to 400 ms or is refused with the rest of the pause as Retry-After. - After an outage of the registry, upstreams whose entries are missing get no requests if at most half of their service is missing.

Ruled out: telling all VMs through the leader, since each is bound only by what it has passed on itself, and the registry tells the others.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -116,6 +116,8 @@
         exchange.abort(err);
         return { kind: "lost", reason: err.message };
       }
+      if (answer.leaving) upstream.announceLeave();
+      if (answer.pauseMs !== undefined) upstream.pause(answer.pauseMs);
       if (answer.load !== undefined) {
         upstream.load.onReport(answer.load, clock.now());
       }
--- a/src/direct/choose_upstream.ts
+++ b/src/direct/choose_upstream.ts
@@ -159,13 +159,15 @@
     !failures.isUnreachable(now)
   );
   if (reachable.length === 0) return unavailable("no upstream is reachable");
+  const accepting = reachable.filter((upstream) => upstream.pauseMs(now) === 0);
+  if (accepting.length === 0) return awaitEndOfPause(query, reachable);
   const limit = { perS: policy.warmUpPerS, vms: view.vms };
-  const sendable = reachable.filter(({ warmUp }) =>
+  const sendable = accepting.filter(({ warmUp }) =>
     warmUp.msToSend(limit, now) === 0
   );
   if (sendable.length === 0) {
     const ms = Math.min(
-      ...reachable.map(({ warmUp }) => warmUp.msToSend(limit, now)),
+      ...accepting.map(({ warmUp }) => warmUp.msToSend(limit, now)),
     );
     return ms < KEY_MOVE_WAIT_MS && ms < remainingMs
       ? { kind: "wait", ms, reason: "upstream is cold" }
@@ -193,6 +195,18 @@
   };
 }
 
+/** All upstreams that could serve the request want no requests for now. */
+function awaitEndOfPause(
+  { now, remainingMs }: Query,
+  paused: readonly Upstream[],
+): Choice {
+  const ms = Math.min(...paused.map((upstream) => upstream.pauseMs(now)));
+  const reason = "upstream asked for a pause";
+  return ms < KEY_MOVE_WAIT_MS && ms < remainingMs
+    ? { kind: "wait", ms, reason }
+    : { kind: "refuse", code: "overloaded", reason, retryAfterMs: ms };
+}
+
 /** Considers other upstreams only if no preferred one is cheap enough. */
 function pickUpstream(
   query: Query,
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -260,7 +260,17 @@
           break;
         case "rejected":
           if (state.keyed || !this.#takeRetry(state)) {
-            return this.#fail(state, "overloaded", verdict.text);
+            return this.#fail(
+              state,
+              "overloaded",
+              verdict.text,
+              state.keyed
+                ? Math.max(
+                  DEFAULT_RETRY_AFTER_MS,
+                  upstream.pauseMs(clock.now()),
+                )
+                : undefined,
+            );
           }
           break;
         case "failed":
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -31,6 +31,13 @@
  * deregistered.
  */
 const MAX_DEREGISTERED_FRACTION = 0.25;
+/**
+ * Upstreams whose entries may have lapsed get no requests if at most this
+ * fraction of their service is missing, since the others can serve instead.
+ */
+const MAX_WITHHELD_FRACTION = 0.5;
+/** Upstreams run for at most some minutes after they have announced to leave. */
+const LEAVE_RETENTION_MS = 600_000;
 /**
  * A lower number of VMs takes effect once no equal or higher one has been
  * reported for this time.
@@ -49,6 +56,10 @@
   readonly #upstreams = new Map<string, Upstream>();
   readonly #idleLimit: IdleLimit;
   readonly #missingSince = new Map<string, number>();
+  /** Ids in `#missingSince` that get no requests. */
+  #withheld: ReadonlySet<string> = new Set();
+  /** Incarnations that have announced in an answer to leave, by id. */
+  readonly #leaving = new Map<string, { incarnation: number; at: number }>();
   readonly #ranges = new Map<string, RangeTable>();
   #config: RoutingConfig | undefined;
   #matcher = new RouteMatcher([]);
@@ -155,21 +166,59 @@
 
   /**
    * @param upstream - a registered upstream
-   * @returns whether it may receive new work: it is ready and not evacuated
+   * @returns whether it may receive requests: it may own keys, and its registry
+   * entry is not missing
    */
   isUsable(upstream: Upstream): boolean {
+    return this.mayOwnKeys(upstream) && !this.#withheld.has(upstream.entry.id);
+  }
+
+  /**
+   * @param upstream - a registered upstream
+   * @returns whether it may be assigned keys: it is ready, has not announced to
+   * leave, and is not evacuated
+   */
+  mayOwnKeys(upstream: Upstream): boolean {
     const { state, failureDomain } = upstream.entry;
-    return state === "ready" && !this.#evacuated.has(failureDomain);
+    return state === "ready" && !upstream.leaveAnnounced &&
+      !this.#evacuated.has(failureDomain);
+  }
+
+  /**
+   * @returns upstreams that have announced to leave, but whose registry entries
+   * do not say so
+   */
+  get unregisteredLeaves(): { id: string; incarnation: number }[] {
+    return [...this.#upstreams.values()]
+      .filter(({ entry, leaveAnnounced }) =>
+        leaveAnnounced && entry.state === "ready"
+      )
+      .map(({ entry: { id, incarnation } }) => ({ id, incarnation }));
+  }
+
+  /**
+   * Records that an upstream has announced to leave, e.g. to another VM.
+   *
+   * @param id - id of the upstream
+   * @param incarnation - the incarnation that leaves
+   */
+  onLeaveAnnounced(id: string, incarnation: number): void {
+    const upstream = this.#upstreams.get(id);
+    if (upstream?.entry.incarnation === incarnation) upstream.announceLeave();
   }
 
   /**
    * @param upstream - a registered upstream
-   * @returns milliseconds since it is known to be draining or evacuated; 0 if
-   * it is neither
+   * @returns milliseconds since it is known to be draining or evacuated, or is
+   * withheld because its registry entry is missing; 0 if it is none of these
    */
   leavingMs(upstream: Upstream): number {
+    const { id } = upstream.entry;
     const since = Math.min(
       upstream.drainingSince ?? Infinity,
+      this.#withheld.has(id)
+        ? this.#missingSince.get(id) ?? Infinity
+        : Infinity,
       this.#evacuated.get(upstream.entry.failureDomain) ?? Infinity,
     );
     return Math.max(0, this.#opts.clock.now() - since);
@@ -274,7 +323,7 @@
     const { clock, logger } = this.#opts;
     const { id, incarnation, service, state, failureDomain } = entry;
     const known = this.#upstreams.get(id);
-    this.#missingSince.delete(id);
+    if (this.#missingSince.delete(id)) this.#updateWithheld();
     const same = known?.entry.incarnation === incarnation &&
       known.entry.address === entry.address;
     if (same) {
@@ -287,10 +336,11 @@
       known.update(entry, clock.now());
     } else {
       known?.closeWhenReleased();
-      this.#upstreams.set(
-        id,
-        new Upstream(entry, clock, this.#sharedOptions(service)),
-      );
+      const upstream = new Upstream(entry, clock, this.#sharedOptions(entry));
+      this.#upstreams.set(id, upstream);
+      if (this.#leaving.get(id)?.incarnation === incarnation) {
+        upstream.announceLeave();
+      }
       logger.info(
         { upstream: id, incarnation, service, state, failureDomain },
         "upstream registered",
@@ -324,6 +374,7 @@
       if (mayHaveLapsed) this.#missingSince.set(id, now);
       else this.#remove(id);
     }
+    this.#updateWithheld();
   }
 
   /**
@@ -335,6 +386,7 @@
     if (this.#missingSince.size === 0) return;
     if (this.#opts.clock.now() < graceEndsAt) return;
     for (const id of [...this.#missingSince.keys()]) this.#remove(id);
+    this.#updateWithheld();
   }
 
   /** @param entries - all entries of the registry */
@@ -348,9 +400,48 @@
     this.changed.notify();
   }
 
-  #sharedOptions(service: string): ConstructorParameters<typeof Upstream>[2] {
+  /** Withholds requests from missing upstreams whose service can do without. */
+  #updateWithheld(): void {
+    if (this.#missingSince.size === 0 && this.#withheld.size === 0) return;
+    const missing = new Map<string, string[]>();
+    const counts = new Map<string, number>();
+    for (const [id, { entry: { service } }] of this.#upstreams) {
+      counts.set(service, (counts.get(service) ?? 0) + 1);
+      if (!this.#missingSince.has(id)) continue;
+      missing.set(service, [...missing.get(service) ?? [], id]);
+    }
+    this.#withheld = new Set(
+      [...missing].flatMap(([service, ids]) =>
+        ids.length <= MAX_WITHHELD_FRACTION * (counts.get(service) ?? 0)
+          ? ids
+          : []
+      ),
+    );
+  }
+
+  #recordLeave({ id, incarnation, service }: UpstreamEntry): void {
+    const { clock, logger } = this.#opts;
+    const now = clock.now();
+    for (const [other, { at }] of this.#leaving) {
+      if (now - at > LEAVE_RETENTION_MS && !this.#upstreams.has(other)) {
+        this.#leaving.delete(other);
+      }
+    }
+    this.#leaving.set(id, { incarnation, at: now });
+    logger.info(
+      { upstream: id, incarnation, service },
+      "upstream announced that it is leaving",
+    );
+    this.changed.notify();
+  }
+
+  #sharedOptions(
+    entry: UpstreamEntry,
+  ): ConstructorParameters<typeof Upstream>[2] {
+    const { service } = entry;
     return {
       idleLimit: this.#idleLimit,
+      onLeaveAnnounced: () => this.#recordLeave(entry),
       mayReject: () => {
         const policy = this.policy(service);
         return policy !== undefined &&
--- a/src/direct/upstream.ts
+++ b/src/direct/upstream.ts
@@ -25,22 +25,33 @@
   readonly connections: UpstreamConnections;
   #entry: UpstreamEntry;
   #drainingSince: number | undefined;
+  #leaveAnnouncedAt: number | undefined;
+  #pausedUntil = Number.NEGATIVE_INFINITY;
   #rejectedAt = Number.NEGATIVE_INFINITY;
   readonly #closing = new AbortController();
+  readonly #clock: Clock;
+  readonly #onLeaveAnnounced: () => void;
 
   /**
    * @param entry - registry entry of the upstream
    * @param clock - clock for connections and estimates
    * @param shared - `idleLimit` for the connections of all upstreams;
    * `mayReject` returns whether the upstream may reset new connections, because
-   * its keys may be hot or connections are scarce
+   * its keys may be hot or connections are scarce; `onLeaveAnnounced` is called
+   * once if the upstream says in an answer that it is leaving
    */
   constructor(
     entry: UpstreamEntry,
     clock: Clock,
-    shared: { idleLimit: IdleLimit; mayReject: () => boolean },
+    shared: {
+      idleLimit: IdleLimit;
+      mayReject: () => boolean;
+      onLeaveAnnounced: () => void;
+    },
   ) {
     this.#entry = entry;
+    this.#clock = clock;
+    this.#onLeaveAnnounced = shared.onLeaveAnnounced;
     this.load = new LoadEstimate(entry.slots);
     this.connections = new UpstreamConnections({
       address: entry.address,
@@ -71,11 +82,47 @@
   }
 
   /**
-   * @returns since when it is known to be draining, in monotonic milliseconds;
-   * undefined if it is not draining
+   * @returns since when it is known to be draining, by its registry entry or by
+   * an answer, in monotonic milliseconds; undefined if it is not draining
    */
   get drainingSince(): number | undefined {
-    return this.#drainingSince;
+    return this.#leaveAnnouncedAt === undefined
+      ? this.#drainingSince
+      : Math.min(this.#leaveAnnouncedAt, this.#drainingSince ?? Infinity);
+  }
+
+  /**
+   * @returns whether it has said in an answer that it is leaving
+   */
+  get leaveAnnounced(): boolean {
+    return this.#leaveAnnouncedAt !== undefined;
+  }
+
+  /**
+   * Records that an answer said that it is leaving. This holds whatever its
+   * registry entry says, which may be older.
+   */
+  announceLeave(): void {
+    if (this.#leaveAnnouncedAt !== undefined) return;
+    this.#leaveAnnouncedAt = this.#clock.now();
+    this.#onLeaveAnnounced();
+  }
+
+  /**
+   * Records that it wants no further request from this VM for some time.
+   *
+   * @param ms - how long, in milliseconds
+   */
+  pause(ms: number): void {
+    this.#pausedUntil = Math.max(this.#pausedUntil, this.#clock.now() + ms);
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns milliseconds until it wants requests again; 0 if it does
+   */
+  pauseMs(now: number): number {
+    return Math.max(0, this.#pausedUntil - now);
   }
 
   /**
--- a/src/direct/upstream_answer.ts
+++ b/src/direct/upstream_answer.ts
@@ -12,6 +12,13 @@
   identity: "same" | "other" | "absent";
   /** Whether the answer carries the signature of the upstream's application. */
   signed: boolean;
+  /** Whether the upstream says that it is leaving. */
+  leaving: boolean;
+  /**
+   * Milliseconds for which the upstream wants no further request from this VM;
+   * undefined if it asks for no pause.
+   */
+  pauseMs: number | undefined;
   /** Reported load, if any. */
   load: LoadReport | undefined;
 };
--- a/src/ranges/key_report.ts
+++ b/src/ranges/key_report.ts
@@ -16,6 +16,11 @@
      * by id. `speeds` is an outer name.
      */
     speeds: z.record(z.string(), z.number()),
+    /** Upstreams that leave, which the registry does not say. */
+    leaving: z.array(z.object({
+      id: z.string(),
+      incarnation: z.number().int(),
+    })).optional(),
     /** Region and peer URL of the VM, which may become its region's relay. */
     region: z.string().optional(),
     peerUrl: z.string().optional(),
--- a/src/ranges/range_controller.ts
+++ b/src/ranges/range_controller.ts
@@ -219,16 +219,18 @@
   }
 
   async #sendReports(): Promise<void> {
-    const { lease, clock, signal, self, relay } = this.#opts;
+    const { lease, clock, signal, self, relay, view } = this.#opts;
     while (!signal.aborted) {
       const counts: Record<string, [number, number][]> = {};
       for (const [service, keys] of this.#counts) counts[service] = [...keys];
       this.#counts = new Map();
+      const leaving = view.unregisteredLeaves;
       const report: Report = {
         ...self,
         canRelay: relay.canRelay,
         counts,
         speeds: this.#changedSlowdowns(),
+        ...(leaving.length === 0 ? {} : { leaving }),
       };
       if (lease.held) this.#onResponse(this.#onReport(report));
       else await this.#sendToLeader(report);
@@ -328,6 +330,9 @@
         before === undefined ? slowdown : (before + slowdown) / 2,
       );
     }
+    for (const { id, incarnation } of report.leaving ?? []) {
+      view.onLeaveAnnounced(id, incarnation);
+    }
     const vms = this.#relays.reporterCount;
     view.setVms(vms);
     this.#reportIntervalMs = Math.min(
--- a/src/ranges/range_grants.ts
+++ b/src/ranges/range_grants.ts
@@ -15,15 +15,20 @@
    * Grants keys or renews a grant. The lease starts when the order arrives at
    * the upstream.
    *
-   * @param order - the keys, the lease duration in milliseconds, and the
-   * handover token returned by the release from the previous owner
+   * @param order - the keys, the lease duration in milliseconds, the handover
+   * token returned by the release from the previous owner, and a callback for an
+   * answer that says that the upstream is leaving
    * @param signal - stops waiting for the response
    * @returns `stale` if the upstream has seen a higher fencing token;
    * `not_sent` if no byte left this VM; after `unanswered` the grant may take
    * effect seconds later
    */
   grant(
-    order: Order & { holdMs: number; handover: string | undefined },
+    order: Order & {
+      holdMs: number;
+      handover: string | undefined;
+      onLeaving: () => void;
+    },
     signal: AbortSignal,
   ): Promise<"granted" | "stale" | "refused" | "not_sent" | "unanswered">;
 
--- a/src/ranges/range_orders.ts
+++ b/src/ranges/range_orders.ts
@@ -208,7 +208,16 @@
       signal,
       (timeoutSignal) =>
         grants.grant(
-          { address, id, first, last, fence, holdMs, handover },
+          {
+            address,
+            id,
+            first,
+            last,
+            fence,
+            holdMs,
+            handover,
+            onLeaving: () => upstream.announceLeave(),
+          },
           timeoutSignal,
         ),
     );
--- a/src/ranges/service_ranges.ts
+++ b/src/ranges/service_ranges.ts
@@ -181,7 +181,7 @@
         return {
           id: upstream.entry.id,
           incarnation: upstream.entry.incarnation,
-          usable: view.isUsable(upstream),
+          usable: view.mayOwnKeys(upstream),
           capacityPerS,
           limitPerS: upstream.warmUp.isCold(now)
             ? Math.min(coldPerS, capacityPerS)
--- a/tests/direct/choose_upstream_test.ts
+++ b/tests/direct/choose_upstream_test.ts
@@ -91,6 +91,78 @@
       },
       chosen: "far",
     },
+    {
+      name: "skips an upstream that has asked for a pause",
+      set: (rig) => {
+        rig.upstream({ id: "near" }).pause(600);
+        rig.upstream({ id: "far", failureDomain: "b1" });
+        return undefined;
+      },
+      chosen: "far",
+    },
+    {
+      name: "waits for the end of a short pause of the last upstream",
+      set: (rig) => {
+        rig.upstream({ id: "near" }).pause(200);
+        return undefined;
+      },
+      chosen: "wait",
+    },
+    {
+      // Several upstreams ask for a pause at once. Guards against sending all
+      // their requests to those that are left.
+      name: "refuses what the upstreams without a pause cannot answer in time",
+      set: (rig) => {
+        for (const id of ["u-1", "u-2", "u-3"]) {
+          rig.upstream({ id }).pause(2000);
+        }
+        addRequestsInFlight(rig.upstream({ id: "left" }), 20);
+        return undefined;
+      },
+      chosen: "refuse",
+    },
+    {
+      name: "skips an upstream that has announced to leave",
+      set: (rig) => {
+        rig.upstream({ id: "near" }).announceLeave();
+        rig.upstream({ id: "far", failureDomain: "b1" });
+        return undefined;
+      },
+      chosen: "far",
+    },
+    {
+      // Its registry row is older than the announcement.
+      name: "skips an upstream that leaves although its entry says ready",
+      set: (rig) => {
+        rig.upstream({ id: "near" }).announceLeave();
+        rig.upstream({ id: "near" });
+        rig.upstream({ id: "far", failureDomain: "b1" });
+        return undefined;
+      },
+      chosen: "far",
+    },
+    {
+      // The registry is read again after its history was lost.
+      name: "skips an upstream that leaves and is registered again",
+      set: (rig) => {
+        rig.upstream({ id: "near" }).announceLeave();
+        rig.view.removeUpstreams(["near"]);
+        rig.upstream({ id: "near", address: "127.0.0.1:2" });
+        rig.upstream({ id: "far", failureDomain: "b1" });
+        return undefined;
+      },
+      chosen: "far",
+    },
+    {
+      name: "uses the next incarnation of an upstream that has left",
+      set: (rig) => {
+        rig.upstream({ id: "near" }).announceLeave();
+        rig.upstream({ id: "near", incarnation: 2 });
+        rig.upstream({ id: "far", failureDomain: "b1" });
+        return undefined;
+      },
+      chosen: "near",
+    },
     {
       // An upstream fails some of its requests while its health check succeeds.
       name: "avoids an upstream that fails often",
@@ -185,6 +257,20 @@
     assert.equal(choose(rig, { route: other }).kind, "refuse");
   });
 
+  it("gives a caller the rest of a pause as retry delay", async () => {
+    const rig = FleetRig.manual();
+    rig.configure([rig.route()]);
+    rig.upstream().pause(2000);
+    rig.upstream().pause(500);
+    await rig.clock.advance(600);
+    const choice = choose(rig);
+    assert.ok(choice.kind === "refuse");
+    assert.equal(choice.code, "overloaded");
+    assert.equal(choice.retryAfterMs, 1400);
+    await rig.clock.advance(1400);
+    assert.equal(choose(rig).kind, "send");
+  });
+
   it("gives a refused caller a retry delay", () => {
     const rig = FleetRig.manual();
     rig.configure([rig.route()]);
@@ -249,6 +335,23 @@
       },
       chosen: "owner",
     },
+    {
+      name: "refuses a request whose owner has asked for a pause",
+      set: (rig) => {
+        rig.upstream({ id: "owner" }).pause(900);
+        rig.upstream({ id: "other" });
+        rig.owners({ id: "owner" });
+      },
+      chosen: "refuse",
+    },
+    {
+      name: "still sends to an owner that has just announced to leave",
+      set: (rig) => {
+        rig.upstream({ id: "owner" }).announceLeave();
+        rig.owners({ id: "owner" });
+      },
+      chosen: "owner",
+    },
     {
       name: "refuses a request whose key has no owner",
       set: () => undefined,
@@ -264,6 +367,17 @@
     });
   }
 
+  // The registry may be unreachable for longer than the upstream runs.
+  it("waits instead of sending to an owner that announced 2 s ago to leave", async () => {
+    const rig = FleetRig.manual();
+    rig.configure([rig.route()], [{ keyed: true }]);
+    rig.upstream({ id: "owner" }).announceLeave();
+    rig.owners({ id: "owner" });
+    await rig.clock.advance(2000);
+    rig.upstream({ id: "owner" });
+    assert.equal(idOf(choose(rig, { key: 77 })), "wait");
+  });
+
   it("waits instead of sending to an owner that has drained for 2 s", async () => {
     const rig = FleetRig.manual();
     rig.configure([rig.route()], [{ keyed: true }]);
--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -15,7 +15,16 @@
 import { silentLogger } from "../support/silent_logger.ts";
 import { testCall } from "../support/test_call.ts";
 
-type Behaviour = "ok" | "reject" | "reset" | "fail" | "misdirect" | "silent";
+type Behaviour =
+  | "leave"
+  | "misdirect and leave"
+  | "pause"
+  | "ok"
+  | "reject"
+  | "reset"
+  | "fail"
+  | "misdirect"
+  | "silent";
 
 const ID = "9c41d07be2a35f68";
 
@@ -29,6 +38,24 @@
     case "ok":
       socket.write(reply("200 OK", "Fescuerun-Response-Signature: s\r\n"));
       break;
+    case "leave":
+      socket.write(
+        reply(
+          "200 OK",
+          "Fescuerun-Response-Signature: s\r\nServer-Leaving: 1\r\n",
+        ),
+      );
+      break;
+    case "misdirect and leave":
+      socket.write(
+        reply("421 X", "Fescuerun-Not-Executed: 1\r\nServer-Leaving: 1\r\n"),
+      );
+      break;
+    case "pause":
+      socket.write(
+        reply("503 Full", "Fescuerun-Not-Executed: 1\r\nRetry-After: 30\r\n"),
+      );
+      break;
     case "reject":
       socket.write(reply("503 Full", "Fescuerun-Not-Executed: 1\r\n"));
       break;
@@ -75,7 +102,12 @@
 async function serve(
   behaviours: Behaviour[],
   fields: Partial<Route>,
-  options: { slack?: number; disconnected?: AbortSignal } = {},
+  options: {
+    slack?: number;
+    disconnected?: AbortSignal;
+    /** Number of requests, one after the other. */
+    calls?: number;
+  } = {},
 ) {
   const rig = new FleetRig(systemClock, 1);
   const route = rig.route({ maxUpstreams: 3, ...fields });
@@ -99,15 +131,19 @@
     });
   }
   const router = routerOf(rig, options.slack ?? 50);
-  const call = testCall({
-    method: "POST",
-    receivedAt: systemClock.now(),
-    deadlineMs: 700,
-  });
-  const outcome = await router.handle(
-    call,
-    options.disconnected ?? new AbortController().signal,
-  );
+  const handle = () =>
+    router.handle(
+      testCall({
+        method: "POST",
+        receivedAt: systemClock.now(),
+        deadlineMs: 700,
+      }),
+      options.disconnected ?? new AbortController().signal,
+    );
+  let outcome = await handle();
+  for (let call = 1; call < (options.calls ?? 1); call++) {
+    outcome = await handle();
+  }
   for (const upstream of rig.view.upstreams) upstream.close();
   for (const raw of raws) raw.close();
   return { outcome, runs };
@@ -153,6 +189,23 @@
     });
   }
 
+  // The behaviour of the nearest upstream, and the requests that it and the
+  // other one get out of five.
+  const withdrawn: [Behaviour, number[]][] = [
+    ["leave", [1, 4]],
+    ["misdirect and leave", [1, 5]],
+    ["pause", [1, 5]],
+  ];
+  for (const [behaviour, runs] of withdrawn) {
+    it(`sends nothing more to an upstream after ${behaviour}`, async () => {
+      const served = await serve([behaviour, "ok"], { idempotent: false }, {
+        calls: 5,
+      });
+      assert.equal(summary(served.outcome), 200);
+      assert.deepEqual(served.runs, runs);
+    });
+  }
+
   it("does not retry when the retry budget is empty", async () => {
     const served = await serve(["reject", "ok"], {}, { slack: 0 });
     assert.equal(summary(served.outcome), "overloaded, not_run");
--- a/tests/direct/fleet_view_test.ts
+++ b/tests/direct/fleet_view_test.ts
@@ -72,6 +72,34 @@
     assert.equal(usable.length, 0);
   });
 
+  it("keeps sending to upstreams of a service that is mostly missing", () => {
+    const rig = FleetRig.manual();
+    for (let n = 0; n < 10; n++) rig.upstream({ id: `u-${n}` });
+    const missing = Array.from({ length: 6 }, (_, n) => `u-${n}`);
+    rig.view.onRegistryReconnected();
+    rig.view.removeUpstreams(missing);
+    assert.ok(missing.every((id) => rig.view.isUsable(rig.view.upstream(id)!)));
+    // Entries return one by one; then the others are the last choice.
+    rig.upstream({ id: "u-0" });
+    assert.ok(!rig.view.isUsable(rig.view.upstream("u-1")!));
+    assert.ok(rig.view.isUsable(rig.view.upstream("u-0")!));
+    // Their keys stay with them until they count as gone.
+    assert.ok(rig.view.mayOwnKeys(rig.view.upstream("u-1")!));
+  });
+
+  it("lists upstreams whose leaving the registry does not say", () => {
+    const rig = FleetRig.manual();
+    rig.upstream({ id: "u-1" });
+    rig.upstream({ id: "u-2" }).announceLeave();
+    rig.view.onLeaveAnnounced("u-1", 7);
+    const expected = [{ id: "u-2", incarnation: 1 }];
+    assert.deepEqual(rig.view.unregisteredLeaves, expected);
+    rig.view.onLeaveAnnounced("u-1", 1);
+    assert.equal(rig.view.unregisteredLeaves.length, 2);
+    rig.upstream({ id: "u-1", state: "draining" });
+    assert.deepEqual(rig.view.unregisteredLeaves, expected);
+  });
+
   it("treats a new incarnation with the same id as a new upstream", () => {
     const rig = FleetRig.manual();
     const before = rig.upstream();
--- a/tests/direct/judge_result_test.ts
+++ b/tests/direct/judge_result_test.ts
@@ -7,6 +7,8 @@
   notExecuted: false,
   misdirected: false,
   otherInstance: false,
+  leaving: false,
+  pauseMs: undefined,
   identity: "same",
   signed: true,
   load: undefined,
--- a/tests/platform/http_headers_test.ts
+++ b/tests/platform/http_headers_test.ts
@@ -57,6 +57,8 @@
       notExecuted: false,
       misdirected: false,
       otherInstance: false,
+      leaving: false,
+      pauseMs: undefined,
       identity: "same",
       signed: true,
       load: { running: 3, waiting: 1, slots: 2, slowdown: 1.5 },
@@ -65,6 +67,8 @@
       notExecuted: false,
       misdirected: false,
       otherInstance: false,
+      leaving: false,
+      pauseMs: undefined,
       identity: "other",
       signed: false,
       load: undefined,
@@ -73,6 +77,8 @@
       notExecuted: true,
       misdirected: true,
       otherInstance: true,
+      leaving: false,
+      pauseMs: undefined,
       identity: "absent",
       signed: false,
       load: undefined,
@@ -85,6 +91,8 @@
         notExecuted: true,
         misdirected: true,
         otherInstance: false,
+        leaving: false,
+        pauseMs: undefined,
         identity: "absent",
         signed: false,
         load: undefined,
@@ -95,6 +103,8 @@
       notExecuted: false,
       misdirected: false,
       otherInstance: false,
+      leaving: false,
+      pauseMs: undefined,
       identity: "absent",
       signed: false,
       load: undefined,
@@ -108,6 +118,56 @@
       ));
   }
 
+  // Server-Leaving, and whether the upstream leaves.
+  const leaving: [string | string[], boolean][] = [
+    ["1", true],
+    [" 1 ", true],
+    [["1", "1"], true],
+    ["0", false],
+    ["", false],
+    ["true", false],
+  ];
+  for (const [value, expected] of leaving) {
+    it(`reads Server-Leaving ${JSON.stringify(value)}`, () => {
+      for (const status of [200, 421, 500, 503]) {
+        const answer = httpHeaders.readAnswer(call, "i-1", status, {
+          "server-leaving": value,
+        });
+        assert.equal(answer.leaving, expected);
+      }
+    });
+  }
+
+  // Retry-After of a 503, and the pause in milliseconds.
+  const pauses: [string, number | undefined][] = [
+    ["2", 2000],
+    ["0.25", 250],
+    ["0", 0],
+    ["300", 300_000],
+    // Longer ones are more likely a mistake.
+    ["3600", 300_000],
+    ["999999999999999", 300_000],
+    ["9".repeat(400), undefined],
+    ["-1", undefined],
+    ["1e3", undefined],
+    ["soon", undefined],
+    ["", undefined],
+    ["Wed, 21 Oct 2026 07:28:00 GMT", undefined],
+  ];
+  for (const [value, expected] of pauses) {
+    it(`reads Retry-After ${JSON.stringify(value.slice(0, 20))}`, () => {
+      const headers = { "retry-after": value };
+      assert.equal(
+        httpHeaders.readAnswer(call, "i-1", 503, headers).pauseMs,
+        expected,
+      );
+      assert.equal(
+        httpHeaders.readAnswer(call, "i-1", 429, headers).pauseMs,
+        undefined,
+      );
+    });
+  }
+
   it("accepts any load header and never reports 0 slots or 0 slowdown", () => {
     fc.assert(fc.property(fc.string(), (text) => {
       const answer = httpHeaders.readAnswer(call, "i-1", 200, {
--- a/tests/ranges/service_ranges_test.ts
+++ b/tests/ranges/service_ranges_test.ts
@@ -52,6 +52,25 @@
     });
   }
 
+  // Guards against keys that stay with an upstream of which only an answer says
+  // that it leaves, because its registry entry is late or never says so.
+  it("moves the keys of an upstream that says in an answer that it leaves", async () => {
+    const rig = new RangeRig();
+    const leader = await startLeader(rig);
+    rig.upstreams.leaving.add("u-2");
+    // A third of the lease until the next renewal, then the move.
+    await rig.advance(2500);
+    // An older entry does not bring it back.
+    rig.register(leader.view, "u-2", "ready");
+    await rig.advance(1500);
+    for (let key = 0; key < 65_536; key += 1024) {
+      assert.ok(!rig.upstreams.holders(key).includes("u-2"));
+    }
+    assert.equal(rig.fractionHeldOnce(), 1);
+    assert.deepEqual(rig.upstreams.overlaps, []);
+    leader.end.abort();
+  });
+
   it("moves the keys of a draining upstream without ever having two owners", async () => {
     const rig = new RangeRig();
     const leader = await startLeader(rig);
--- a/tests/support/lease_upstreams.ts
+++ b/tests/support/lease_upstreams.ts
@@ -20,6 +20,8 @@
   readonly #seenOrders = new Map<string, KeyRangeLease[]>();
   /** IDs of the upstreams that no router can reach. */
   readonly down = new Set<string>();
+  /** IDs of the upstreams that say in their answers that they leave. */
+  readonly leaving = new Set<string>();
   /** Descriptions of key ranges that two upstreams held at the same time. */
   readonly overlaps: string[] = [];
   /** Number of grants that reached an upstream. */
@@ -34,6 +36,7 @@
   ): ReturnType<RangeGrants["grant"]> {
     if (this.down.has(order.id)) return Promise.resolve("not_sent");
     this.grantCount++;
+    if (this.leaving.has(order.id)) order.onLeaving();
     if (this.#hasSeenHigherToken(order)) return Promise.resolve("stale");
     const now = this.#clock.now();
     const { first, last, fence } = order;
--- a/tests/support/test_upstream.ts
+++ b/tests/support/test_upstream.ts
@@ -28,6 +28,6 @@
       ...fields,
     },
     clock,
-    { idleLimit, mayReject: () => true },
+    { idleLimit, onLeaveAnnounced: () => undefined, mayReject: () => true },
   );
 }
