fix(upstreams): bound what an upstream may send around an answer

Cause: undici limits header lines, but discards a reason phrase, interim answers and chunk extensions without a limit, so an upstream that sends them without end kept the process busy until the deadline.

Ruled out: a limit on interim answers alone, which leaves the other shapes; a deadline for the head, which leaves the processor time.

Change: AnswerMeter counts the bytes of a connection that have been parsed, whatever they are taken for: 64 KiB before the head is complete, and 64 KiB plus 8 bytes for each byte of the body around it. A signed answer that names no request counts as lost, since a late second answer must not be taken for the next one.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -111,7 +111,11 @@
       // entry is removed, it counts as unreachable and is tried only after a
       // backoff.
       if (answer.otherInstance) upstream.failures.onUnreachable(clock.now());
-      if (answer.identity === "other") {
+      // Upstreams name the request in each answer of theirs.
+      if (
+        answer.identity === "other" ||
+        (answer.signed && answer.identity === "absent")
+      ) {
         const err = new Error("the answer belongs to another request");
         exchange.abort(err);
         return { kind: "lost", reason: err.message };
--- a/src/upstreams/upstream_connection.ts
+++ b/src/upstreams/upstream_connection.ts
@@ -2,6 +2,7 @@
 import { Client } from "undici";
 import type { Dispatcher } from "undici";
 import type { Clock } from "../base/clock.ts";
+import { AnswerMeter } from "./answer_meter.ts";
 import { ConnectionRejected } from "./connection_rejected.ts";
 import { openSocket } from "./open_socket.ts";
 
@@ -27,6 +28,7 @@
 
 /** `UpstreamConnections` limits idle times itself too, by its own clock. */
 const UNDICI_IDLE_TIMEOUT_MS = 4000;
+const FIRST_FINAL_STATUS = 200;
 /** A round trip between regions takes 40 ms. */
 const MAX_ACCEPTANCE_WAIT_MS = 60;
 /** Added to the measured round trip, which may be slightly too short. */
@@ -40,6 +42,8 @@
   #established = false;
   #closed = false;
   #reset = false;
+  #meter: AnswerMeter | undefined;
+  #metered = false;
 
   /**
    * Creates a connection that connects when the first request is sent.
@@ -87,14 +91,49 @@
   }
 
   /**
+   * Sends a request. The connection is closed if the upstream sends far more
+   * than the answer's body; the answer then fails.
+   *
    * @param options - the request
    * @param handler - receives the answer
    */
   send(
     options: Dispatcher.DispatchOptions,
-    handler: Dispatcher.DispatchHandler,
+    handler: Required<
+      Pick<
+        Dispatcher.DispatchHandler,
+        | "onRequestStart"
+        | "onResponseStart"
+        | "onResponseData"
+        | "onResponseEnd"
+        | "onResponseError"
+      >
+    >,
   ): void {
-    this.#client.dispatch(options, handler);
+    this.#client.dispatch(options, {
+      onRequestStart: (controller, context) => {
+        this.#startMeter();
+        handler.onRequestStart(controller, context);
+      },
+      onResponseStart: (controller, status, headers, message) => {
+        if (status >= FIRST_FINAL_STATUS) {
+          this.#meter?.onHead(this.#parsedBytes);
+        }
+        handler.onResponseStart(controller, status, headers, message);
+      },
+      onResponseData: (controller, chunk) => {
+        this.#meter?.onBody(chunk.length);
+        handler.onResponseData(controller, chunk);
+      },
+      onResponseEnd: (controller, trailers) => {
+        this.#meter = undefined;
+        handler.onResponseEnd(controller, trailers);
+      },
+      onResponseError: (controller, err) => {
+        this.#meter = undefined;
+        handler.onResponseError(controller, err);
+      },
+    });
   }
 
   /** Closes the connection at once; a request on it fails. */
@@ -105,6 +144,23 @@
     this.#socket?.destroy();
   }
 
+  /** Bytes of the connection that undici has taken from the socket. */
+  get #parsedBytes(): number {
+    const socket = this.#socket;
+    return socket === undefined ? 0 : socket.bytesRead - socket.readableLength;
+  }
+
+  #startMeter(): void {
+    this.#meter = new AnswerMeter(this.#parsedBytes);
+    if (this.#metered) return;
+    this.#metered = true;
+    // Called after undici's own listener, which has parsed what had arrived.
+    this.#socket?.on("readable", () => {
+      const err = this.#meter?.check(this.#parsedBytes);
+      if (err !== undefined) this.#socket?.destroy(err);
+    });
+  }
+
   #connect(callback: Parameters<Connector>[1]): void {
     const { address, clock, waitForAcceptance } = this.#options;
     const startedAt = clock.now();
