feat(direct): bound the memory of bodies, and the wait for them

Cause: bodies of requests and answers were held without a bound over all of them. A route of kind upload sends up to 360 KB to a VM of 250 MB, a caller that stalled midway was waited for without end (and held up a stop), and a body above its limit destroyed the connection instead of getting 413.

Ruled out: streaming. Latency and memory of both ways were not measured against each other.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -1,5 +1,6 @@
 import type { Readable } from "node:stream";
 import type { Clock } from "../base/clock.ts";
+import type { ByteBudget } from "../limits/byte_budget.ts";
 import { ConnectionRejected } from "../upstreams/connection_rejected.ts";
 import { UpstreamExchange } from "../upstreams/upstream_exchange.ts";
 import type { AttemptResult } from "./attempt_result.ts";
@@ -17,6 +18,8 @@
   deadlineAt: number;
   /** Maximum number of connections from this VM to the upstream. */
   maxConnections: number;
+  /** Memory for the long answers that are being read at the same time. */
+  answerMemory: ByteBudget;
 };
 
 /**
@@ -26,6 +29,8 @@
 const CONNECT_TIMEOUT_MS = 350;
 /** Answers are buffered in memory; an attempt with a larger answer fails. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** The part of each answer that does not count as long. */
+const SHORT_ANSWER_BYTES = 256 * 1024;
 
 /**
  * Sends a request to one upstream and buffers the whole answer, so that no part
@@ -87,7 +92,7 @@
 
 async function readAnswer(
   exchange: UpstreamExchange,
-  { call, upstream, protocol, clock }: Options,
+  { call, upstream, protocol, clock, answerMemory }: Options,
 ): Promise<AttemptResult> {
   const head = await exchange.head;
   switch (head.kind) {
@@ -125,7 +130,7 @@
       if (answer.load !== undefined) {
         upstream.load.onReport(answer.load, clock.now());
       }
-      const read = await readBody(body);
+      const read = await readBody(body, answerMemory);
       if (answer.notExecuted) return { kind: "rejected", status, answer };
       if (read instanceof Error) return { kind: "lost", reason: read.message };
       const framed = headers["content-length"] !== undefined ||
@@ -135,19 +140,32 @@
   }
 }
 
-async function readBody(body: Readable): Promise<Uint8Array | Error> {
+async function readBody(
+  body: Readable,
+  memory: ByteBudget,
+): Promise<Uint8Array | Error> {
   const chunks: Buffer[] = [];
   let size = 0;
+  let taken = 0;
   try {
     for await (const chunk of body as AsyncIterable<Buffer>) {
       size += chunk.length;
       if (size > MAX_ANSWER_BYTES) {
         return new Error(`the answer exceeds ${MAX_ANSWER_BYTES} bytes`);
       }
+      const missing = size - SHORT_ANSWER_BYTES - taken;
+      if (missing > 0) {
+        if (!memory.take(missing)) {
+          return new Error("no memory is left for long answers");
+        }
+        taken += missing;
+      }
       chunks.push(chunk);
     }
   } catch (err) {
     return err instanceof Error ? err : new Error(String(err));
+  } finally {
+    memory.give(taken);
   }
   return Buffer.concat(chunks, size);
 }
--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -222,6 +222,8 @@
       protocol,
       maxBodyBytes: () =>
         view.config?.requests.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+      bodyMemoryBytes: cfg.bodyMemoryBytes,
+      metrics,
       readinessDelayMs: READINESS_DELAY_MS,
     });
     const rpc = rpcServer({
--- a/src/direct/direct_listener.ts
+++ b/src/direct/direct_listener.ts
@@ -3,29 +3,43 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
+import { ByteBudget } from "../limits/byte_budget.ts";
 import { refuseUnparsableRequest } from "../entry/refuse_unparsable_request.ts";
 import { DrainingServer } from "../links/draining_server.ts";
-import { endToEndHeaders } from "../links/end_to_end_headers.ts";
 import { hasBody } from "../links/has_body.ts";
+import { endToEndHeaders } from "../links/end_to_end_headers.ts";
 import { writeRefusal } from "../links/write_refusal.ts";
+import { withTimeout } from "../vms/with_timeout.ts";
+import { CallerBody } from "./caller_body.ts";
 import type { CallerCall } from "./caller_call.ts";
 import type { CallOutcome } from "./call_outcome.ts";
+import type { DirectMetrics } from "./direct_metrics.ts";
 import type { DirectRouter } from "./direct_router.ts";
 import type { WireProtocol } from "./wire_protocol.ts";
 
 type Options = {
   clock: Clock;
   logger: Logger;
-  router: Pick<DirectRouter, "handle">;
+  router: Pick<DirectRouter, "handle" | "timeoutMs">;
   protocol: WireProtocol;
   /** Current limit of a request's body, in bytes. */
   maxBodyBytes: () => number;
+  /** Memory for the bodies of all requests, in bytes. */
+  bodyMemoryBytes: number;
+  metrics: Pick<DirectMetrics, "refusedBodies">;
   /** Shortest time for which a drain accepts connections, in milliseconds. */
   readinessDelayMs: number;
 };
 
 /** Above the limit in the configuration, which callers already respect. */
 const MAX_HEADER_BYTES = 64 * 1024;
+/** Longest wait for a body if neither the caller nor a route sets a limit. */
+const MAX_BODY_WAIT_MS = 30_000;
+/**
+ * Retry delay for callers whose bodies have no room; those of other requests
+ * are released within some hundred milliseconds.
+ */
+const BODY_RETRY_AFTER_MS = 500;
 const HEADERS_TIMEOUT_MS = 10_000;
 const HEADERS_TIMEOUT_CHECK_INTERVAL_MS = 1000;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
@@ -39,12 +53,14 @@
 export class DirectListener {
   readonly #opts: Options;
   readonly #server: DrainingServer;
+  readonly #bodyMemory: ByteBudget;
 
   /**
    * @param opts - the router, the wire protocol, and the limits
    */
   constructor(opts: Options) {
     this.#opts = opts;
+    this.#bodyMemory = new ByteBudget(opts.bodyMemoryBytes);
     this.#server = new DrainingServer({
       clock: opts.clock,
       http: {
@@ -118,31 +134,33 @@
     });
     const headerFields = protocol.readCall(req.headers);
     const requestId = headerFields.requestId ?? randomUUID();
+    const callerBody = new CallerBody(req, this.#bodyMemory);
+    res.once("close", () => callerBody.release());
     try {
       if (expectsContinue) res.writeContinue();
-      const body = await readBody(req, this.#opts.maxBodyBytes());
-      if (body === "gone") return;
-      if (body === "too_large") {
-        const maxBodyBytes = this.#opts.maxBodyBytes();
-        this.#answer(req, res, requestId, {
-          kind: "refused",
-          refusal: {
-            code: "body_too_large",
-            outcome: "not_run",
-            message: `the body exceeds ${maxBodyBytes} bytes`,
-            data: { maxBodyBytes },
-          },
-          retryAfterMs: undefined,
-        });
+      const target = req.url ?? "/";
+      const read = hasBody(req)
+        ? await this.#readBody(callerBody, {
+          maxWaitMs: Math.min(
+            headerFields.deadlineMs ?? MAX_BODY_WAIT_MS,
+            router.timeoutMs(req.headers.host, target) ?? MAX_BODY_WAIT_MS,
+          ),
+          disconnected: disconnected.signal,
+        })
+        : { kind: "read" as const, body: undefined };
+      if (read.kind === "gone" || disconnected.signal.aborted) return;
+      if (read.kind !== "read") {
+        this.#opts.metrics.refusedBodies.inc({ reason: read.kind });
+        this.#answer(req, res, requestId, this.#bodyRefusal(read.kind));
         return;
       }
       const call: CallerCall = {
         requestId,
         method: req.method ?? "GET",
-        target: req.url ?? "/",
+        target,
         host: req.headers.host,
         headers: endToEndHeaders(req.rawHeaders),
-        body,
+        body: read.body,
         receivedAt,
         deadlineMs: headerFields.deadlineMs,
         key: headerFields.key,
@@ -164,6 +182,53 @@
     }
   }
 
+  #readBody(
+    body: CallerBody,
+    limits: { maxWaitMs: number; disconnected: AbortSignal },
+  ): ReturnType<CallerBody["read"]> {
+    return withTimeout(
+      { clock: this.#opts.clock, ms: limits.maxWaitMs },
+      limits.disconnected,
+      (signal) => body.read(this.#opts.maxBodyBytes(), signal),
+    );
+  }
+
+  #bodyRefusal(reason: "too_large" | "no_memory" | "slow"): CallOutcome {
+    const outcome = "not_run";
+    switch (reason) {
+      case "too_large": {
+        const maxBodyBytes = this.#opts.maxBodyBytes();
+        const message = `the body exceeds ${maxBodyBytes} bytes`;
+        return {
+          kind: "refused",
+          refusal: {
+            code: "body_too_large",
+            outcome,
+            message,
+            data: { maxBodyBytes },
+          },
+          retryAfterMs: undefined,
+        };
+      }
+      case "no_memory": {
+        const message = "no memory is left for the body";
+        return {
+          kind: "refused",
+          refusal: { code: "overloaded", outcome, message },
+          retryAfterMs: BODY_RETRY_AFTER_MS,
+        };
+      }
+      case "slow": {
+        const message = "the body did not arrive in time";
+        return {
+          kind: "refused",
+          refusal: { code: "slow_sender", outcome, message },
+          retryAfterMs: undefined,
+        };
+      }
+    }
+  }
+
   #answer(
     req: IncomingMessage,
     res: ServerResponse,
@@ -201,23 +266,3 @@
     }
   }
 }
-
-async function readBody(
-  req: IncomingMessage,
-  maxBytes: number,
-): Promise<Uint8Array | undefined | "too_large" | "gone"> {
-  if (!hasBody(req)) return undefined;
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of req as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > maxBytes) return "too_large";
-      chunks.push(chunk);
-    }
-  } catch {
-    // The caller disconnected before the end of its body, so no answer is due.
-    return "gone";
-  }
-  return Buffer.concat(chunks, size);
-}
--- a/src/direct/direct_metrics.ts
+++ b/src/direct/direct_metrics.ts
@@ -51,6 +51,13 @@
     help: "1 on the VM that assigns key ranges.",
     registers: [this.registry],
   });
+  /** Requests whose bodies were not read to their end, by reason. */
+  readonly refusedBodies = new Counter({
+    name: "fescuerun_refused_bodies_total",
+    help: "Requests refused while their bodies were read, by reason.",
+    labelNames: ["reason"] as const,
+    registers: [this.registry],
+  });
   /** Parts of the newest configuration that are not in use. */
   readonly configProblems = new Gauge({
     name: "fescuerun_config_problems",
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -104,6 +104,17 @@
     this.#startedAt = opts.clock.now();
   }
 
+  /**
+   * @param host - value of the Host header
+   * @param target - path and query
+   * @returns the timeout of the request's route in milliseconds; undefined if
+   * no route matches
+   */
+  timeoutMs(host: string | undefined, target: string): number | undefined {
+    const match = this.#opts.view.matcher.match(host, target);
+    return match.kind === "route" ? match.route.timeoutMs : undefined;
+  }
+
   /**
    * Serves one request and records its outcome.
    *
--- a/src/direct/direct_settings.ts
+++ b/src/direct/direct_settings.ts
@@ -21,6 +21,8 @@
   retries: { ratio: number; windowMs: number; slack: number };
   /** Longest lease on keys that an upstream accepts, in milliseconds. */
   maxHoldMs: number;
+  /** Memory for the bodies of all requests, in bytes. */
+  bodyMemoryBytes: number;
   /** Processor cores of the VM; undefined if it is not known. */
   cores: number | undefined;
 };
--- a/src/direct/upstream_sender.ts
+++ b/src/direct/upstream_sender.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../base/clock.ts";
+import { ByteBudget } from "../limits/byte_budget.ts";
 import { attempt } from "./attempt.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallState } from "./call_state.ts";
@@ -18,9 +19,13 @@
   metrics: DirectMetrics;
 };
 
+/** Room for three answers of the largest size. */
+const ANSWER_MEMORY_BYTES = 48 * 1024 * 1024;
+
 /** Sends requests to upstreams and updates the estimates from the results. */
 export class UpstreamSender {
   readonly #opts: Options;
+  readonly #answerMemory = new ByteBudget(ANSWER_MEMORY_BYTES);
 
   /**
    * @param opts - view of the deployment, estimates, protocol and metrics
@@ -68,6 +73,7 @@
         policy ?? { maxConnections: 0 },
         view.vms,
       ),
+      answerMemory: this.#answerMemory,
       // A non-idempotent request is not aborted when its caller disconnects,
       // since it would then be unknown whether the request has run.
     }, route.idempotent ? disconnected : new AbortController().signal);
--- a/tests/direct/attempt_test.ts
+++ b/tests/direct/attempt_test.ts
@@ -3,12 +3,14 @@
 import { createServer, type Socket } from "node:net";
 import { systemClock } from "../../src/base/system_clock.ts";
 import { attempt } from "../../src/direct/attempt.ts";
+import { ByteBudget } from "../../src/limits/byte_budget.ts";
 import { listenOn } from "../../dev/standins/listen_on.ts";
 import { httpHeaders } from "../../platform/http_headers.ts";
 import { RawUpstream } from "../support/raw_upstream.ts";
 import { testCall } from "../support/test_call.ts";
 import { testUpstream } from "../support/test_upstream.ts";
 
+const ANSWER_MEMORY_BYTES = 32 * 1024 * 1024;
 const ID = "9c41d07be2a35f68";
 const HEAD = `HTTP/1.1 200 OK\r\nFescuerun-Request-Id: ${ID}\r\n` +
   "Fescuerun-Response-Signature: s\r\n";
@@ -26,6 +28,7 @@
     clock: systemClock,
     deadlineAt: systemClock.now() + 5000,
     maxConnections: 2,
+    answerMemory: new ByteBudget(ANSWER_MEMORY_BYTES),
   }, new AbortController().signal);
   upstream.close();
   raw.close();
@@ -87,6 +90,16 @@
       ),
     kind: "lost",
   },
+  {
+    // Upstreams name the request in each of their answers.
+    name: "a signed answer that names no request",
+    write: (socket) =>
+      socket.write(
+        "HTTP/1.1 200 OK\r\nFescuerun-Response-Signature: s\r\n" +
+          "Content-Length: 4\r\n\r\nbody",
+      ),
+    kind: "lost",
+  },
   {
     name: "a refusal marked as not executed",
     write: (socket) =>
@@ -99,6 +112,37 @@
 ];
 
 describe("attempt", () => {
+  // Guards against long answers that fill the memory together, although each of
+  // them is within its limit.
+  it("loses a long answer for which no memory is left", async () => {
+    const long = "x".repeat(1024 * 1024);
+    const raw = await new RawUpstream((socket) =>
+      socket.write(`${HEAD}Content-Length: ${long.length}\r\n\r\n${long}`)
+    ).listen();
+    const upstream = testUpstream({ address: `127.0.0.1:${raw.port}` });
+    const answerMemory = new ByteBudget(1024 * 1024);
+    const sendOne = () =>
+      attempt({
+        call,
+        upstream,
+        idempotent: true,
+        protocol: httpHeaders,
+        clock: systemClock,
+        deadlineAt: systemClock.now() + 5000,
+        maxConnections: 2,
+        answerMemory,
+      }, new AbortController().signal);
+    assert.equal((await sendOne()).kind, "answered");
+    assert.equal(answerMemory.used, 0);
+    answerMemory.take(512 * 1024);
+    assert.equal((await sendOne()).kind, "lost");
+    assert.equal(answerMemory.used, 512 * 1024);
+    answerMemory.give(512 * 1024);
+    assert.equal((await sendOne()).kind, "answered");
+    upstream.close();
+    raw.close();
+  });
+
   for (const { name, write, kind, body } of CASES) {
     it(`${name}: ${kind}`, async () => {
       const result = await send(write);
@@ -137,6 +181,7 @@
         clock: systemClock,
         deadlineAt: systemClock.now() + 5000,
         maxConnections: 2,
+        answerMemory: new ByteBudget(ANSWER_MEMORY_BYTES),
       }, new AbortController().signal);
       upstream.close();
       server.close();
--- a/tests/direct/direct_listener_test.ts
+++ b/tests/direct/direct_listener_test.ts
@@ -4,6 +4,7 @@
 import { systemClock } from "../../src/base/system_clock.ts";
 import type { CallOutcome } from "../../src/direct/call_outcome.ts";
 import { DirectListener } from "../../src/direct/direct_listener.ts";
+import { DirectMetrics } from "../../src/direct/direct_metrics.ts";
 import { RawCaller } from "../support/raw_caller.ts";
 import { silentLogger } from "../support/silent_logger.ts";
 
@@ -21,13 +22,52 @@
   } as CallOutcome;
 }
 
+const MAX_BODY_BYTES = 100;
+const BODY_MEMORY_BYTES = 150;
+
+function post(headers: string): string {
+  return "POST /a/ HTTP/1.1\r\nHost: h\r\nFescuerun-Request-Id: r\r\n" +
+    `${headers}\r\n\r\n`;
+}
+
+/** Serves requests; each answer waits until `finish` is called. */
+async function serveBodies(timeoutMs = 5000) {
+  const bodies: string[] = [];
+  const gate = new AbortController();
+  const metrics = new DirectMetrics();
+  const listener = new DirectListener({
+    clock: systemClock,
+    logger: silentLogger(),
+    router: {
+      handle: async (call) => {
+        bodies.push(Buffer.from(call.body ?? []).toString());
+        await systemClock.sleep(5000, gate.signal);
+        return answered({});
+      },
+      timeoutMs: () => timeoutMs,
+    },
+    protocol: httpHeaders,
+    maxBodyBytes: () => MAX_BODY_BYTES,
+    bodyMemoryBytes: BODY_MEMORY_BYTES,
+    metrics,
+    readinessDelayMs: 0,
+  });
+  const port = await listener.listen("127.0.0.1:0");
+  const until = async (count: number) => {
+    while (bodies.length < count) await systemClock.sleep(5);
+  };
+  return { port, bodies, until, metrics, listener, finish: () => gate.abort() };
+}
+
 async function sendRequest(outcome: CallOutcome, until: RegExp) {
   const listener = new DirectListener({
     clock: systemClock,
     logger: silentLogger(),
-    router: { handle: () => Promise.resolve(outcome) },
+    router: { handle: () => Promise.resolve(outcome), timeoutMs: () => 5000 },
     protocol: httpHeaders,
-    maxBodyBytes: () => 100,
+    maxBodyBytes: () => MAX_BODY_BYTES,
+    bodyMemoryBytes: BODY_MEMORY_BYTES,
+    metrics: new DirectMetrics(),
     readinessDelayMs: 0,
   });
   const port = await listener.listen("127.0.0.1:0");
@@ -73,4 +113,98 @@
     caller.socket.destroy();
     await listener.drain(AbortSignal.abort());
   });
+
+  // What callers send, and the status and retry delay that they get.
+  const full = "x".repeat(MAX_BODY_BYTES);
+  const cases: [string, string, RegExp][] = [
+    ["a body with a length", `${post("Content-Length: 4")}body`, / 200 /],
+    [
+      "a body in chunks",
+      `${post("Transfer-Encoding: chunked")}2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n`,
+      / 200 /,
+    ],
+    ["a length above the limit", post("Content-Length: 101"), / 413 /],
+    [
+      "chunks above the limit",
+      `${post("Transfer-Encoding: chunked")}65\r\n${full}x\r\n`,
+      / 413 /,
+    ],
+  ];
+  for (const [name, text, status] of cases) {
+    it(`answers ${name} with${status.source}`, async () => {
+      const { port, bodies, finish, listener } = await serveBodies();
+      finish();
+      const caller = new RawCaller(port).write(text);
+      assert.match(await caller.until(/\r\n\r\n.+/s), status);
+      assert.deepEqual(bodies, status.test(" 200 ") ? ["body"] : []);
+      caller.socket.destroy();
+      await listener.drain(AbortSignal.abort());
+    });
+  }
+
+  // Guards against a burst of long bodies that ends the process, because each
+  // of them is within its own limit.
+  it("refuses bodies for which the memory of all bodies is too small", async () => {
+    const { port, until, metrics, finish, listener } = await serveBodies();
+    const first = new RawCaller(port)
+      .write(`${post("Content-Length: 100")}${full}`);
+    await until(1);
+    for (
+      const text of [
+        post("Content-Length: 60"),
+        `${post("Transfer-Encoding: chunked")}3c\r\n${"y".repeat(60)}\r\n`,
+      ]
+    ) {
+      const second = new RawCaller(port).write(text);
+      const answer = await second.until(/\}/);
+      assert.match(answer, / 503 /);
+      assert.match(answer, /retry-after: 0.500/i);
+      assert.match(answer, /not_run/);
+      second.socket.destroy();
+    }
+    const small = new RawCaller(port)
+      .write(`${post("Content-Length: 4")}body`);
+    await until(2);
+    finish();
+    assert.match(await first.until(/body$/), / 200 /);
+    assert.match(await small.until(/body$/), / 200 /);
+    // The memory of the first body is available again.
+    const third = new RawCaller(port)
+      .write(`${post("Content-Length: 100")}${full}`);
+    assert.match(await third.until(/body$/), / 200 /);
+    for (const caller of [first, small, third]) caller.socket.destroy();
+    await listener.drain(AbortSignal.abort());
+    const text = await metrics.registry.metrics();
+    assert.match(text, /refused_bodies_total\{reason="no_memory"\} 2/);
+  });
+
+  it("gives the memory back if the caller disconnects within its body", async () => {
+    const { port, finish, listener } = await serveBodies();
+    finish();
+    const lost = new RawCaller(port).write(`${post("Content-Length: 100")}x`);
+    await systemClock.sleep(0);
+    lost.socket.destroy();
+    let status = "";
+    while (!status.includes(" 200 ")) {
+      const next = new RawCaller(port)
+        .write(`${post("Content-Length: 100")}${full}`);
+      status = await next.until(/\r\n\r\n.+/s);
+      next.socket.destroy();
+    }
+    await listener.drain(AbortSignal.abort());
+  });
+
+  // Guards against a caller that stalls midway and holds memory and a stop for
+  // ever.
+  it("refuses a body that does not arrive within the route's timeout", async () => {
+    const { port, bodies, listener } = await serveBodies(100);
+    const caller = new RawCaller(port)
+      .write(`${post("Content-Length: 100")}half`);
+    const answer = await caller.until(/\}/);
+    assert.match(answer, / 408 /);
+    assert.match(answer, /not_run/);
+    assert.deepEqual(bodies, []);
+    await listener.drain(AbortSignal.abort());
+    await caller.closed();
+  });
 });
--- a/tests/direct/endless_bytes_test.ts
+++ b/tests/direct/endless_bytes_test.ts
@@ -4,11 +4,13 @@
 import { httpHeaders } from "../../platform/http_headers.ts";
 import { systemClock } from "../../src/base/system_clock.ts";
 import { attempt } from "../../src/direct/attempt.ts";
+import { ByteBudget } from "../../src/limits/byte_budget.ts";
 import { startEndlessUpstream } from "../support/endless_upstream.ts";
 import { RawUpstream } from "../support/raw_upstream.ts";
 import { testCall } from "../support/test_call.ts";
 import { testUpstream } from "../support/test_upstream.ts";
 
+const ANSWER_MEMORY_BYTES = 32 * 1024 * 1024;
 type Shape = Parameters<typeof startEndlessUpstream>[0];
 type Upstream = ReturnType<typeof testUpstream>;
 
@@ -38,6 +40,7 @@
     clock: systemClock,
     deadlineAt: systemClock.now() + deadlineMs,
     maxConnections: 4,
+    answerMemory: new ByteBudget(ANSWER_MEMORY_BYTES),
   }, new AbortController().signal);
 }
 
--- /dev/null
+++ b/tests/direct/late_answers_test.ts
@@ -0,0 +1,81 @@
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { describe, it } from "node:test";
+import { httpHeaders } from "../../platform/http_headers.ts";
+import { systemClock } from "../../src/base/system_clock.ts";
+import { attempt } from "../../src/direct/attempt.ts";
+import { ByteBudget } from "../../src/limits/byte_budget.ts";
+import { RawUpstream } from "../support/raw_upstream.ts";
+import { testCall } from "../support/test_call.ts";
+import { testUpstream } from "../support/test_upstream.ts";
+
+const ANSWER_MEMORY_BYTES = 1024 * 1024;
+const DEADLINE_MS = 2000;
+const REQUESTS = 12;
+
+function answerTo(id: string): string {
+  return "HTTP/1.1 200 OK\r\nFescuerun-Response-Signature: s\r\n" +
+    `Fescuerun-Request-Id: ${id}\r\nContent-Length: ${id.length}\r\n\r\n${id}`;
+}
+
+/** When the second copy of an answer is sent, on the same connection. */
+const COPIES: Record<
+  string,
+  (socket: Socket, ids: { last: string | undefined; id: string }) => void
+> = {
+  "at once": (socket, { id }) => socket.write(answerTo(id) + answerTo(id)),
+  "after some milliseconds": (socket, { id }) => {
+    socket.write(answerTo(id));
+    setTimeout(() => socket.write(answerTo(id)), 3);
+  },
+  "before the next answer": (socket, { last, id }) => {
+    socket.write((last === undefined ? "" : answerTo(last)) + answerTo(id));
+  },
+  "in place of the next answer": (socket, { last, id }) => {
+    socket.write(answerTo(last ?? id));
+  },
+  "in place of the next answer, without id": (socket, { last, id }) => {
+    const answer = answerTo(last ?? id);
+    socket.write(
+      last === undefined
+        ? answer
+        : answer.replace(/Fescuerun-Request-Id: .*\r\n/, ""),
+    );
+  },
+};
+
+describe("a second copy of an answer", () => {
+  for (const [when, write] of Object.entries(COPIES)) {
+    // Guards against a caller that gets an answer to another request.
+    it(`never becomes the answer to another request, sent ${when}`, async () => {
+      const lastIds = new WeakMap<Socket, string>();
+      const raw = await new RawUpstream((socket, text) => {
+        const id = /fescuerun-request-id: (\S+)/i.exec(text)?.[1] ?? "";
+        write(socket, { last: lastIds.get(socket), id });
+        lastIds.set(socket, id);
+      }).listen();
+      const upstream = testUpstream({ address: `127.0.0.1:${raw.port}` });
+      let answered = 0;
+      for (let n = 0; n < REQUESTS; n++) {
+        const requestId = `request-${n}`;
+        const result = await attempt({
+          call: testCall({ requestId }),
+          upstream,
+          idempotent: true,
+          protocol: httpHeaders,
+          clock: systemClock,
+          deadlineAt: systemClock.now() + DEADLINE_MS,
+          maxConnections: 1,
+          answerMemory: new ByteBudget(ANSWER_MEMORY_BYTES),
+        }, new AbortController().signal);
+        if (result.kind !== "answered") continue;
+        answered++;
+        assert.equal(Buffer.from(result.body).toString(), requestId);
+        await systemClock.sleep(n % 3);
+      }
+      assert.ok(answered > 0);
+      upstream.close();
+      raw.close();
+    });
+  }
+});
--- a/tests/support/platform_router.ts
+++ b/tests/support/platform_router.ts
@@ -49,6 +49,7 @@
         stopMs: 2000,
         retries: { ratio: 0.2, windowMs: 10_000, slack: 60 },
         maxHoldMs: 10_000,
+        bodyMemoryBytes: 1024 * 1024,
         cores: undefined,
       },
       clock: systemClock,
