test(platform): a planned stop under load answers every request

Callers with kept and with new connections send until a load balancer would have taken the router out.

Seen while it was written: with 6 s to stop, three new connections were reset in one of ten runs side by side (load 21), because the readiness checks of the test itself took longer than the 3 s for which the router accepts. With 20 s, new connections are accepted until a second without requests has passed. The first test of the file once got no answer on its kept connection in the same load, since it stopped within 2 s; it has the same time now.

--- a/tests/platform/whole_path_test.ts
+++ b/tests/platform/whole_path_test.ts
@@ -3,8 +3,15 @@
 import { startKeyedUpstream } from "../support/keyed_upstream.ts";
 import { PlatformRouter } from "../support/platform_router.ts";
 import { RawCaller } from "../support/raw_caller.ts";
+import { StoppingCallers } from "../support/stopping_callers.ts";
+import { systemClock } from "../../src/base/system_clock.ts";
 
 const TEST_TIMEOUT_MS = 30_000;
+const WORK_MS = 40;
+/** New connections are accepted for half of it, also on a slow computer. */
+const STOP_MS = 20_000;
+const CALLERS = 6;
+const CHECK_INTERVAL_MS = 1000;
 
 function config(version: number) {
   return JSON.stringify({
@@ -64,7 +71,7 @@
     const router = await PlatformRouter.start([
       ["op", "config", config(1)],
       ["servers", "i-1", registryRow(upstream.port)],
-    ]);
+    ], STOP_MS);
     await router.until(() => upstream.grants.length > 0);
     const caller = new RawCaller(router.port).write(request("id-1"));
     const text = await caller.until(/POST \/a\/x\?y=1$/);
@@ -85,6 +92,31 @@
     upstream.close();
   });
 
+  // Load pattern: callers with kept and with new connections, behind a load
+  // balancer that takes a router out after two failed checks, 1 s apart. Guards
+  // against a stop that cuts off requests that were just accepted.
+  it("answers every request around a planned stop under load", async (t) => {
+    const upstream = await startKeyedUpstream(WORK_MS);
+    t.after(() => upstream.close());
+    const router = await PlatformRouter.start([
+      ["op", "config", config(1)],
+      ["servers", "i-1", registryRow(upstream.port, { slots: 64 })],
+    ], STOP_MS);
+    await router.until(() => upstream.grants.length > 0);
+    const callers = new StoppingCallers(router.port, CALLERS);
+    await callers.untilAnswered(200);
+    router.stop();
+    const stopped = router.close();
+    for (let misses = 0; misses < 2; misses++) {
+      assert.ok(!await router.isReady());
+      await systemClock.sleep(CHECK_INTERVAL_MS);
+    }
+    callers.stopConnecting();
+    await stopped;
+    await callers.ended;
+    assert.deepEqual(callers.failures, []);
+  });
+
   // Guards against one row of another writer that ends every leader, since the
   // next one reads it too.
   it("serves beside registry rows that name no usable upstream", async () => {
--- a/tests/support/keyed_upstream.ts
+++ b/tests/support/keyed_upstream.ts
@@ -6,9 +6,10 @@
  * Starts an upstream on a loopback port that answers requests only for keys
  * granted to it.
  *
+ * @param workMs - how long it takes for a request, in milliseconds
  * @returns its port, the grants that it has received, and how to close it
  */
-export async function startKeyedUpstream() {
+export async function startKeyedUpstream(workMs = 0) {
   const grants: Grant[] = [];
   const server = createServer((req, res) => {
     const chunks: Buffer[] = [];
@@ -28,12 +29,14 @@
         res.writeHead(421, { "fescuerun-not-executed": "1" }).end();
         return;
       }
-      res.writeHead(200, {
-        "fescuerun-request-id": id,
-        "fescuerun-response-signature": `s-${id}`,
-        "fescuerun-server-load": "1,0,2,100",
-      });
-      res.end(`${req.method} ${req.url}`);
+      setTimeout(() => {
+        res.writeHead(200, {
+          "fescuerun-request-id": id,
+          "fescuerun-response-signature": `s-${id}`,
+          "fescuerun-server-load": "1,0,64,100",
+        });
+        res.end(`${req.method} ${req.url}`);
+      }, workMs);
     });
   });
   await new Promise<void>((resolve) =>
--- a/tests/support/platform_router.ts
+++ b/tests/support/platform_router.ts
@@ -27,6 +27,7 @@
     memory: MemoryRowStore,
     http: { port: number; close: () => void },
     ports: readonly number[],
+    stopMs: number,
   ) {
     this.memory = memory;
     this.#http = http;
@@ -46,7 +47,7 @@
           peers: `127.0.0.1:${peers}`,
           metrics: undefined,
         },
-        stopMs: 2000,
+        stopMs,
         retries: { ratio: 0.2, windowMs: 10_000, slack: 60 },
         maxHoldMs: 10_000,
         bodyMemoryBytes: 1024 * 1024,
@@ -84,14 +85,16 @@
    * Starts a router whose store has the given rows.
    *
    * @param rows - table, key and value of each row
+   * @param stopMs - time for a graceful stop, in milliseconds
    */
   static async start(
     rows: readonly (readonly [string, string, string])[],
+    stopMs = 2000,
   ): Promise<PlatformRouter> {
     const memory = new MemoryRowStore(systemClock);
     for (const row of rows) memory.put(...row);
     const http = await new RowStoreServer(memory).listen();
-    return new PlatformRouter(memory, http, await freePorts(3));
+    return new PlatformRouter(memory, http, await freePorts(3), stopMs);
   }
 
   /** @returns port of the callers' listener */
