fix(direct): drop a request whose caller has left before it was read

The VM, alone in its domain, gets about 200 requests a second while its code is cold, reads each after its caller has given up, and sends it to an upstream; the log has caller_gone 5 to 15 ms after the request was read.

Ruled out: a lost close (the caller's end is seen at the next poll, 5 to 15 ms later); the reading of bodies (the requests have none).

Change: after a request has been read, one more poll of the sockets shows whether its caller has left; such a request is dropped before it costs a choice, a send and an upstream's work. An end of the caller counts, since Node.js closes the connection then.

Failed first: direct_listener_test "drops a request that it reads after the caller's end".

--- a/src/direct/direct_listener.ts
+++ b/src/direct/direct_listener.ts
@@ -10,6 +10,7 @@
 import { endToEndHeaders } from "../links/end_to_end_headers.ts";
 import { writeRefusal } from "../links/write_refusal.ts";
 import { withTimeout } from "../vms/with_timeout.ts";
+import { afterNextPoll } from "./after_next_poll.ts";
 import { CallerBody } from "./caller_body.ts";
 import type { CallerCall } from "./caller_call.ts";
 import type { CallOutcome } from "./call_outcome.ts";
@@ -165,6 +166,9 @@
         deadlineMs: headerFields.deadlineMs,
         key: headerFields.key,
       };
+      await afterNextPoll();
+      // Node.js closes a connection whose caller has sent its end.
+      if (disconnected.signal.aborted || req.socket.readableEnded) return;
       this.#answer(
         req,
         res,
--- a/tests/direct/direct_listener_test.ts
+++ b/tests/direct/direct_listener_test.ts
@@ -24,6 +24,7 @@
 
 const MAX_BODY_BYTES = 100;
 const BODY_MEMORY_BYTES = 150;
+const BLOCKED_MS = 50;
 
 function post(headers: string): string {
   return "POST /a/ HTTP/1.1\r\nHost: h\r\nFescuerun-Request-Id: r\r\n" +
@@ -207,4 +208,31 @@
     await listener.drain(AbortSignal.abort());
     await caller.closed();
   });
+
+  // Load pattern: a router that has just started gets more requests than it can
+  // run, and reads each of them after its caller has left. Guards against work
+  // for callers that are gone, which delays all others.
+  for (const close of ["end", "destroy"] as const) {
+    it(`drops a request that it reads after the caller's ${close}`, async () => {
+      const { port, bodies, finish, listener } = await serveBodies();
+      finish();
+      const callers = Array.from({ length: 5 }, () => new RawCaller(port));
+      await Promise.all(
+        callers.map((caller) =>
+          new Promise((resolve) => caller.socket.once("connect", resolve))
+        ),
+      );
+      // The server accepts the connections before the requests are sent.
+      const first = new RawCaller(port).write(REQUEST);
+      await first.until(/body$/);
+      bodies.length = 0;
+      for (const caller of callers) caller.write(REQUEST).socket[close]();
+      const until = performance.now() + BLOCKED_MS;
+      while (performance.now() < until);
+      await Promise.all(callers.map((caller) => caller.closed()));
+      assert.equal(bodies.length, 0);
+      first.socket.destroy();
+      await listener.drain(AbortSignal.abort());
+    });
+  }
 });
