test(limits): attribute each admitted request to the share of its moment

The check looked the share up by time and took the later one, so it allowed a burst of 1 where the share that admitted the request allows 20; the next request, 5 ms later, was within it. The holder was right.

Change: the check records the share, and whether its lease is valid, when a request is admitted.

--- a/tests/limits/share_holder_test.ts
+++ b/tests/limits/share_holder_test.ts
@@ -6,17 +6,16 @@
 
 const neverAborted = () => new AbortController().signal;
 
-function setUp() {
+function setUp(onEnded: (code: string) => void = () => undefined) {
   const clock = new ManualClock();
   const holder = new ShareHolder(clock, neverAborted());
   const log: { at: number; code: string }[] = [];
   const releases: (() => void)[] = [];
   const request = (until = Number.POSITIVE_INFINITY, signal = neverAborted()) =>
     void holder.admit("e", { until, signal }).then((result) => {
-      log.push({
-        at: clock.now(),
-        code: result.isOk() ? "admitted" : result.error.code,
-      });
+      const code = result.isOk() ? "admitted" : result.error.code;
+      log.push({ at: clock.now(), code });
+      onEnded(code);
       if (result.isOk()) releases.push(result.value.release);
     });
   return { clock, holder, log, releases, request };
@@ -33,9 +32,19 @@
   const steps = fc.array(step, { minLength: 1, maxLength: 15 });
   await fc.assert(
     fc.asyncProperty(steps, async (plan) => {
-      const { clock, holder, log, request } = setUp();
       // Rate of the valid share over time.
       const shares: { from: number; to: number; rate: number }[] = [];
+      // Admitted requests with the share of that moment: a request and a new
+      // share may fall on the same millisecond.
+      const admitted: { at: number; rate: number }[] = [];
+      const unleased: number[] = [];
+      const { clock, holder, request } = setUp((code) => {
+        if (code !== "admitted") return;
+        const at = clock.now();
+        const share = shares.at(-1)!;
+        if (at >= share.to && at !== share.from) unleased.push(at);
+        admitted.push({ at, rate: share.rate });
+      });
       for (const { rate, ttl, requests, pause, renew } of plan) {
         if (renew) {
           const now = clock.now();
@@ -51,13 +60,10 @@
         await clock.advance(pause);
       }
       await clock.advance(600);
-      const times = log.filter((one) => one.code === "admitted")
-        .map((one) => one.at);
-      for (const [i, from] of times.entries()) {
-        const at = shares.findLast((s) => s.from <= from)!;
-        assert.ok(from < at.to || at.from === from, "admitted without a lease");
-        const burst = Math.max(1, at.rate / 10);
-        for (const [j, to] of times.entries()) {
+      assert.deepEqual(unleased, [], "admitted without a lease");
+      for (const [i, { at: from, rate }] of admitted.entries()) {
+        const burst = Math.max(1, rate / 10);
+        for (const [j, { at: to }] of admitted.entries()) {
           if (j < i) continue;
           const earned = shares.reduce((sum, s) => {
             const ms = Math.min(s.to, to) - Math.max(s.from, from);
