fix(direct): keep the time of an announced leave when an upstream registers again

Change: the view passes on the time of the announcement. Also the check for a caller that has left in one place, and imports in order.

Failed first: choose_upstream_test "counts from the announcement if the owner is registered again".

--- a/src/direct/direct_listener.ts
+++ b/src/direct/direct_listener.ts
@@ -3,11 +3,11 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
-import { ByteBudget } from "../limits/byte_budget.ts";
 import { refuseUnparsableRequest } from "../entry/refuse_unparsable_request.ts";
+import { ByteBudget } from "../limits/byte_budget.ts";
 import { DrainingServer } from "../links/draining_server.ts";
-import { hasBody } from "../links/has_body.ts";
 import { endToEndHeaders } from "../links/end_to_end_headers.ts";
+import { hasBody } from "../links/has_body.ts";
 import { writeRefusal } from "../links/write_refusal.ts";
 import { withTimeout } from "../vms/with_timeout.ts";
 import { afterNextPoll } from "./after_next_poll.ts";
@@ -133,6 +133,9 @@
     res.once("close", () => {
       if (!res.writableFinished) disconnected.abort();
     });
+    // Node.js closes a connection whose caller has sent its end.
+    const hasLeft = () =>
+      disconnected.signal.aborted || req.socket.readableEnded;
     const headerFields = protocol.readCall(req.headers);
     const requestId = headerFields.requestId ?? randomUUID();
     const callerBody = new CallerBody(req, this.#bodyMemory);
@@ -149,7 +152,7 @@
           disconnected: disconnected.signal,
         })
         : { kind: "read" as const, body: undefined };
-      if (read.kind === "gone" || disconnected.signal.aborted) return;
+      if (read.kind === "gone" || hasLeft()) return;
       if (read.kind !== "read") {
         this.#opts.metrics.refusedBodies.inc({ reason: read.kind });
         this.#answer(req, res, requestId, this.#bodyRefusal(read.kind));
@@ -167,8 +170,7 @@
         key: headerFields.key,
       };
       await afterNextPoll();
-      // Node.js closes a connection whose caller has sent its end.
-      if (disconnected.signal.aborted || req.socket.readableEnded) return;
+      if (hasLeft()) return;
       this.#answer(
         req,
         res,
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -338,9 +338,8 @@
       known?.closeWhenReleased();
       const upstream = new Upstream(entry, clock, this.#sharedOptions(entry));
       this.#upstreams.set(id, upstream);
-      if (this.#leaving.get(id)?.incarnation === incarnation) {
-        upstream.announceLeave();
-      }
+      const leave = this.#leaving.get(id);
+      if (leave?.incarnation === incarnation) upstream.announceLeave(leave.at);
       logger.info(
         { upstream: id, incarnation, service, state, failureDomain },
         "upstream registered",
@@ -427,6 +426,7 @@
         this.#leaving.delete(other);
       }
     }
+    if (this.#leaving.get(id)?.incarnation === incarnation) return;
     this.#leaving.set(id, { incarnation, at: now });
     logger.info(
       { upstream: id, incarnation, service },
--- a/src/direct/upstream.ts
+++ b/src/direct/upstream.ts
@@ -101,10 +101,12 @@
   /**
    * Records that an answer said that it is leaving. This holds whatever its
    * registry entry says, which may be older.
+   *
+   * @param at - monotonic milliseconds of the answer, by default now
    */
-  announceLeave(): void {
+  announceLeave(at = this.#clock.now()): void {
     if (this.#leaveAnnouncedAt !== undefined) return;
-    this.#leaveAnnouncedAt = this.#clock.now();
+    this.#leaveAnnouncedAt = at;
     this.#onLeaveAnnounced();
   }
 
--- a/tests/direct/choose_upstream_test.ts
+++ b/tests/direct/choose_upstream_test.ts
@@ -378,6 +378,20 @@
     assert.equal(idOf(choose(rig, { key: 77 })), "wait");
   });
 
+  it("counts from the announcement if the owner is registered again", async () => {
+    const rig = FleetRig.manual();
+    rig.configure([rig.route()], [{ keyed: true }]);
+    rig.upstream({ id: "owner" }).announceLeave();
+    rig.owners({ id: "owner" });
+    await rig.clock.advance(2000);
+    rig.view.removeUpstreams(["owner"]);
+    rig.upstream({ id: "owner" });
+    assert.equal(idOf(choose(rig, { key: 77 })), "wait");
+    rig.view.removeUpstreams(["owner"]);
+    rig.upstream({ id: "owner" });
+    assert.equal(idOf(choose(rig, { key: 77 })), "wait");
+  });
+
   it("waits instead of sending to an owner that has drained for 2 s", async () => {
     const rig = FleetRig.manual();
     rig.configure([rig.route()], [{ keyed: true }]);
