--- /dev/null
+++ b/review/eslint.config.mjs
@@ -0,0 +1,2 @@
+import tseslint from "typescript-eslint";
+export default tseslint.config(...tseslint.configs.recommended);
