--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,7 @@
 #!/bin/sh
 # Exit codes: 1 the rule was broken, 0 it held, 2 the case could not run.
 cd "$(dirname "$0")" || exit 2
-exec timeout -s KILL 115 node run.mjs
+timeout -k 3 -s TERM 115 node run.mjs
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
--- a/review/lib/router.mjs
+++ b/review/lib/router.mjs
@@ -6,6 +6,15 @@
 
 const RESTART_DELAY_MS = 500;
 
+/** Processes that run now; none outlives the script. */
+const children = new Set();
+process.once("exit", () => {
+  for (const child of children) child.kill("SIGKILL");
+});
+for (const signal of ["SIGTERM", "SIGINT"]) {
+  process.once(signal, () => process.exit(2));
+}
+
 function deployCommand(repository) {
   const text = readFileSync(join(repository, "deploy/system.toml"), "utf8");
   return /^run = "(.*)"$/m.exec(text)[1].split(" ");
@@ -125,10 +134,12 @@
       stdio: ["ignore", "pipe", "inherit"],
     });
     this.#child = child;
+    children.add(child);
     child.stdout.on("data", (chunk) => this.#opts.onOutput?.(name, chunk));
     log({ kind: "router started", router: name });
     this.#ended = new Promise((resolve) => {
       child.once("exit", (code, signal) => {
+        children.delete(child);
         log({ kind: "router ended", router: name, code, signal });
         resolve();
         // The platform starts a process that has ended again.
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -61,8 +61,6 @@
   unframedShare = 0;
   /** Share of the answers that have no length and are reset on the way. */
   brokenShare = 0;
-  /** Share of the orders that get no answer and are carried out late. */
-  lateShare = 0;
   /** Lost with the process. */
   #state;
 
@@ -186,23 +184,12 @@
     } else if (expected !== undefined && expected !== this.id) {
       this.#refuse(req, res, 421);
     } else if (req.url === "/api/grant") {
-      await this.#mayBeLate(req);
       this.#grant(state, JSON.parse(body.toString()), arrivedAt, res);
     } else if (req.url === "/api/release") {
-      await this.#mayBeLate(req);
       await this.#release(state, JSON.parse(body.toString()), res);
     } else this.#accept(state, req, res);
   }
 
-  /** Some orders get no answer and are carried out 2 to 12 s later. */
-  async #mayBeLate(req) {
-    if (Math.random() >= this.lateShare) return;
-    req.socket.resetAndDestroy();
-    await new Promise((resolve) =>
-      setTimeout(resolve, 2000 + Math.random() * 10_000)
-    );
-  }
-
   #grant(state, { from: first, target: last, fence, hold_time }, arrivedAt, res) {
     const { log } = this.#opts;
     const range = { first, last, fence };
