--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -18,11 +18,11 @@
 /** Bounds of the rule. */
 const MAX_OVERLAP_MS = 500;
 /** Doses: see claim.txt. */
-const CUT_MS = 9000;
-const DOWN_MS = 2000;
+const CUT_MS = 7000;
+const DOWN_MS = 1300;
 /** Planned work: a zone is emptied, and its workers restart after that. */
-const EVACUATION_AFTER_CUT_MS = 4800;
-const RESTART_AFTER_EVACUATION_MS = 800;
+const EVACUATION_AFTER_CUT_MS = 4000;
+const RESTART_AFTER_EVACUATION_MS = 1000;
 const EVACUATED_ZONE = "a-1";
 /** Workers that are there at first; the others join one by one. */
 const FIRST_WORKERS = 8;
