fix(ranges): keep an old leader's grants away from restarted upstreams

Cause: a leader that hears nothing from the store renews grants for 12 s. Its successor asks it to step down, but the row of the lease kept only how long earlier leaders may send orders, not who they are. When the successor was killed and its VM acquired the lease again, nobody asked the first leader. It relied on upstreams that refuse old tokens, and those that had restarted under their ids knew none.

Ruled out: an expired lease taken for granted (the new leader had released the keys and had the answer), and orders that are carried out late (the renewal was sent after the restart).

Change: the row names all leaders that may still send orders, and a new leader asks each of them. While its lease is not confirmed, a leader sends grants only on connections on which the upstream has accepted a grant before; these end with the process, so the upstream knows all tokens it has been given.

Failed before: leader_lease_test (names the first leader after its successor, 2 cases), service_ranges_test (restarted upstreams, 2 of 4 delays), grant_client_test (same process).

Conclusion: renewals without a confirmed lease no longer rest on what an upstream remembers across a restart.

--- a/src/ranges/leader_lease.ts
+++ b/src/ranges/leader_lease.ts
@@ -7,32 +7,45 @@
 
 /** Above the order grace period of several leaders in a row. */
 const MAX_EARLIER_ORDERS_MS = 60_000;
+const MAX_NAMED_LEADERS = 8;
 
-const LeaseRow = z.object({
-  schema: z.literal(1),
+const ordersMs = z.number().nonnegative().max(MAX_EARLIER_ORDERS_MS);
+const Identity = z.object({
   vm: z.string(),
   incarnation: z.string(),
   peerUrl: z.string(),
+});
+type Identity = z.infer<typeof Identity>;
+const LeaseRow = Identity.extend({
+  schema: z.literal(1),
   /** Whether the leader has released the lease. */
   released: z.boolean().optional(),
   /**
    * Milliseconds for which earlier leaders may still send orders. Readers count
    * from the time at which they read the row, which is later than the write.
    */
-  earlierOrdersMs: z.number().nonnegative().max(MAX_EARLIER_ORDERS_MS)
-    .optional(),
+  earlierOrdersMs: ordersMs.optional(),
+  /** The earlier leaders, each with its share of that time. */
+  earlierLeaders: z.array(Identity.extend({ ordersMs }))
+    .max(MAX_NAMED_LEADERS).optional(),
+  /** The same time for leaders that `earlierLeaders` does not name. */
+  unnamedOrdersMs: ordersMs.optional(),
 });
 type LeaseRow = z.infer<typeof LeaseRow>;
 type Options = {
   store: RowStore;
   table: string;
-  self: Pick<LeaseRow, "vm" | "incarnation" | "peerUrl">;
+  self: Identity;
   /** Processor cores of this VM; undefined if unknown. */
   cores: number | undefined;
   clock: Clock;
   logger: Logger;
   signal: AbortSignal;
 };
+type EarlierLeader = Identity & {
+  /** Monotonic milliseconds after which it sends no orders. */
+  ordersEndAt: number;
+};
 type ObservedRow = {
   row: LeaseRow | undefined;
   version: number;
@@ -83,11 +96,13 @@
   #held = false;
   #confirmedAt = Number.NEGATIVE_INFINITY;
   #offsetAtRenewalMs = 0;
-  /** Monotonic milliseconds after which the predecessor sends no orders. */
-  #predecessorEndsAt = Number.NEGATIVE_INFINITY;
-  /** The same for leaders before it; this VM does not ask them to step down. */
-  #earlierLeadersEndAt = Number.NEGATIVE_INFINITY;
-  #predecessor: LeaseRow | undefined;
+  /** Leaders before this VM that may still send orders. */
+  #earlierLeaders: EarlierLeader[] = [];
+  /**
+   * Monotonic milliseconds after which leaders that are not known by name send
+   * no orders.
+   */
+  #unnamedLeadersEndAt = Number.NEGATIVE_INFINITY;
 
   /**
    * @param opts - the store, and how this VM identifies itself in the row
@@ -130,7 +145,10 @@
    * @returns monotonic milliseconds after which no earlier leader sends orders
    */
   get predecessorOrdersEndAt(): number {
-    return Math.max(this.#predecessorEndsAt, this.#earlierLeadersEndAt);
+    return Math.max(
+      this.#unnamedLeadersEndAt,
+      ...this.#earlierLeaders.map(({ ordersEndAt }) => ordersEndAt),
+    );
   }
 
   /**
@@ -158,33 +176,37 @@
   }
 
   /**
-   * Records which process of a VM is running. If it is a later one than the
-   * predecessor's, the predecessor sends no more orders.
+   * Records which process of a VM is running. Earlier processes of the VM send
+   * no more orders.
    *
    * @param vm - name of the VM
    * @param incarnation - the VM's current incarnation; earlier ones have ended
    */
   onPeerSeen(vm: string, incarnation: string): void {
-    const before = this.#predecessor;
-    if (before?.vm !== vm || before.incarnation === incarnation) return;
-    this.onPredecessorStopped();
+    this.#earlierLeaders = this.#earlierLeaders.filter((leader) =>
+      leader.vm !== vm || leader.incarnation === incarnation
+    );
   }
 
   /**
-   * @returns peer URL of the predecessor while it may still send orders
+   * @returns earlier leaders that may still send orders; empty unless this VM
+   * holds the lease
    */
-  get predecessorUrl(): string | undefined {
-    return this.#held && this.#opts.clock.now() < this.#predecessorEndsAt
-      ? this.#predecessor?.peerUrl
-      : undefined;
+  get activeEarlierLeaders(): readonly Identity[] {
+    const now = this.#opts.clock.now();
+    return this.#held
+      ? this.#earlierLeaders.filter(({ ordersEndAt }) => now < ordersEndAt)
+      : [];
   }
 
-  /** Records that the predecessor sends no more orders. */
-  onPredecessorStopped(): void {
-    this.#predecessor = undefined;
-    this.#predecessorEndsAt = Math.min(
-      this.#predecessorEndsAt,
-      this.#opts.clock.now(),
+  /**
+   * Records that an earlier leader sends no more orders.
+   *
+   * @param incarnation - the process that led
+   */
+  onEarlierLeaderStopped(incarnation: string): void {
+    this.#earlierLeaders = this.#earlierLeaders.filter((leader) =>
+      leader.incarnation !== incarnation
     );
   }
 
@@ -242,11 +264,26 @@
 
   #row(): LeaseRow {
     const { self, clock } = this.#opts;
-    const earlierOrdersMs = this.predecessorOrdersEndAt - clock.now();
+    const now = clock.now();
+    const remainingMs = (endsAt: number) =>
+      Math.min(MAX_EARLIER_ORDERS_MS, Math.max(0, endsAt - now));
+    const leaders = this.#earlierLeaders
+      .filter(({ ordersEndAt }) => now < ordersEndAt)
+      .sort((a, b) => b.ordersEndAt - a.ordersEndAt);
+    const unnamedEndsAt = Math.max(
+      this.#unnamedLeadersEndAt,
+      leaders[MAX_NAMED_LEADERS]?.ordersEndAt ?? now,
+    );
     return {
       schema: 1,
       ...self,
-      ...(earlierOrdersMs > 0 ? { earlierOrdersMs } : {}),
+      earlierOrdersMs: remainingMs(this.predecessorOrdersEndAt),
+      earlierLeaders: leaders.slice(0, MAX_NAMED_LEADERS)
+        .map(({ ordersEndAt, ...leader }) => ({
+          ...leader,
+          ordersMs: remainingMs(ordersEndAt),
+        })),
+      unnamedOrdersMs: remainingMs(unnamedEndsAt),
     };
   }
 
@@ -312,14 +349,7 @@
     const expired = clock.now() - observed.firstReadAt >=
       (ended ? 0 : LEASE_TTL_MS) + this.#standbyDelayMs();
     if (!expired) return false;
-    this.#earlierLeadersEndAt = Math.max(
-      this.#earlierLeadersEndAt,
-      observed.firstReadAt +
-        (isSpoiled ? ORDER_GRACE_MS : row?.earlierOrdersMs ?? 0),
-    );
-    this.#predecessorEndsAt = ended
-      ? Number.NEGATIVE_INFINITY
-      : clock.now() + ORDER_GRACE_MS;
+    this.#recordEarlierLeaders(observed, ended);
     const outcome = await this.#write(observed.version);
     if (outcome.kind !== "applied") return false;
     const now = clock.now();
@@ -327,8 +357,8 @@
     this.#leaderUnreachable = false;
     this.#confirmedAt = now;
     this.#offsetAtRenewalMs = this.#clockOffsetMs();
-    this.#predecessor = ended ? undefined : row;
-    this.#predecessorEndsAt = ended ? now : now + ORDER_GRACE_MS;
+    // The predecessor may have renewed the lease until this write.
+    this.#recordEarlierLeaders(observed, ended);
     logger.info(
       { version: this.#observed?.version, predecessor: row?.vm },
       "leader lease acquired",
@@ -337,6 +367,43 @@
     return true;
   }
 
+  /**
+   * Records the leaders before this VM that may still send orders.
+   *
+   * @param observed - the row that this VM replaces
+   * @param ended - whether the leader in the row sends no more orders
+   */
+  #recordEarlierLeaders(
+    { row, version, firstReadAt }: ObservedRow,
+    ended: boolean,
+  ): void {
+    const { clock, self } = this.#opts;
+    const now = clock.now();
+    const isSpoiled = row === undefined && version > 0;
+    // Earlier versions of this program name no earlier leaders.
+    const unnamedMs = isSpoiled
+      ? ORDER_GRACE_MS
+      : row?.unnamedOrdersMs ?? row?.earlierOrdersMs ?? 0;
+    this.#unnamedLeadersEndAt = Math.max(
+      this.#unnamedLeadersEndAt,
+      firstReadAt + unnamedMs,
+    );
+    const leaders = new Map<string, EarlierLeader>();
+    const add = (leader: Identity, ordersEndAt: number) => {
+      const { vm, incarnation, peerUrl } = leader;
+      const before = leaders.get(incarnation)?.ordersEndAt ?? now;
+      // Earlier processes of this VM have ended.
+      if (vm === self.vm || ordersEndAt <= before) return;
+      leaders.set(incarnation, { vm, incarnation, peerUrl, ordersEndAt });
+    };
+    for (const leader of this.#earlierLeaders) add(leader, leader.ordersEndAt);
+    for (const leader of row?.earlierLeaders ?? []) {
+      add(leader, firstReadAt + leader.ordersMs);
+    }
+    if (row !== undefined && !ended) add(row, now + ORDER_GRACE_MS);
+    this.#earlierLeaders = [...leaders.values()];
+  }
+
   async #readRow(): Promise<LeaseRow | undefined | "unknown"> {
     const { store, table, clock, signal, logger } = this.#opts;
     const read = await store.readTable(table, signal);
--- a/src/ranges/range_controller.ts
+++ b/src/ranges/range_controller.ts
@@ -136,38 +136,45 @@
     await Promise.all([
       run("leader terms", () => this.#runTerms()),
       run("key reports", () => this.#sendReports()),
-      run("predecessor", () => this.#askPredecessorToStepDown()),
+      run("earlier leaders", () => this.#askEarlierLeadersToStepDown()),
     ]);
   }
 
   /**
-   * Asks the predecessor to stop sending orders, so that the end of the leases
-   * it granted is known.
+   * Asks earlier leaders to stop sending orders, so that the end of the leases
+   * they granted is known.
    */
-  async #askPredecessorToStepDown(): Promise<void> {
-    const { lease, peers, clock, signal, self, logger } = this.#opts;
+  async #askEarlierLeadersToStepDown(): Promise<void> {
+    const { lease, clock, signal } = this.#opts;
     while (!signal.aborted) {
-      const peerUrl = lease.predecessorUrl;
-      if (peerUrl !== undefined) {
-        const answer = await peers.call({
-          peerUrl,
-          method: StepDownRequest.method,
-          params: { vm: self.vm },
-          result: StepDownRequest.result,
-          timeoutMs: REPORT_TIMEOUT_MS,
-        }, signal);
-        if (answer.isOk() && answer.value.yielded) lease.onPredecessorStopped();
-        else {
-          logger.info({
-            peerUrl,
-            err: answer.isErr() ? answer.error : undefined,
-          }, "predecessor has not stepped down; will ask it again");
-        }
-      }
+      await Promise.all(
+        lease.activeEarlierLeaders.map((leader) => this.#askToStepDown(leader)),
+      );
       await clock.sleep(STEP_DOWN_RETRY_DELAY_MS, signal);
     }
   }
 
+  async #askToStepDown(
+    { peerUrl, incarnation }: { peerUrl: string; incarnation: string },
+  ): Promise<void> {
+    const { lease, peers, signal, self, logger } = this.#opts;
+    const answer = await peers.call({
+      peerUrl,
+      method: StepDownRequest.method,
+      params: { vm: self.vm },
+      result: StepDownRequest.result,
+      timeoutMs: REPORT_TIMEOUT_MS,
+    }, signal);
+    if (answer.isOk() && answer.value.yielded) {
+      lease.onEarlierLeaderStopped(incarnation);
+    } else {
+      logger.info({
+        peerUrl,
+        err: answer.isErr() ? answer.error : undefined,
+      }, "predecessor has not stepped down; will ask it again");
+    }
+  }
+
   async #runTerms(): Promise<void> {
     const { lease, clock, signal, view, metrics } = this.#opts;
     const notifiers = [lease.changed, view.changed];
--- a/src/ranges/range_grants.ts
+++ b/src/ranges/range_grants.ts
@@ -16,8 +16,10 @@
    * the upstream.
    *
    * @param order - the keys, the lease duration in milliseconds, the handover
-   * token returned by the release from the previous owner, and a callback for an
-   * answer that says that the upstream is leaving
+   * token returned by the release from the previous owner, whether to send only
+   * on a connection on which the upstream has accepted a grant before, so that
+   * it is the same process and knows the tokens that it has received since, and
+   * a callback for an answer that says that the upstream is leaving
    * @param signal - stops waiting for the response
    * @returns `stale` if the upstream has seen a higher fencing token;
    * `not_sent` if no byte left this VM; after `unanswered` the grant may take
@@ -27,6 +29,7 @@
     order: Order & {
       holdMs: number;
       handover: string | undefined;
+      sameProcess: boolean;
       onLeaving: () => void;
     },
     signal: AbortSignal,
--- a/src/ranges/range_orders.ts
+++ b/src/ranges/range_orders.ts
@@ -194,7 +194,8 @@
     handover: string | undefined,
     signal: AbortSignal,
   ): Promise<Awaited<ReturnType<RangeGrants["grant"]>>> {
-    const { clock, grants, holdMs, logger, metrics, service } = this.#opts;
+    const { clock, grants, holdMs, lease, logger, metrics, service } =
+      this.#opts;
     const { first, last, fence } = range;
     const { id, address } = upstream.entry;
     const ownerKey = incarnationKey(range.owner);
@@ -216,6 +217,10 @@
             fence,
             holdMs,
             handover,
+            // While the leader lease is not confirmed, another leader may have
+            // moved the keys. An upstream that has restarted since would not
+            // know that leader's token.
+            sameProcess: !lease.confirmed,
             onLeaving: () => upstream.announceLeave(),
           },
           timeoutSignal,
--- a/src/upstreams/upstream_connections.ts
+++ b/src/upstreams/upstream_connections.ts
@@ -99,12 +99,8 @@
     );
     this.#closeIdle();
     const newest = this.#idle.at(-1);
-    const idleMs = now - (newest?.since ?? 0);
-    if (newest !== undefined && idleMs <= maxIdleMs) {
-      this.#idle.pop();
-      this.#reused.set(newest.connection, { idleMs, at: now });
-      this.#busy.add(newest.connection);
-      return newest.connection;
+    if (newest !== undefined && now - newest.since <= maxIdleMs) {
+      return this.#reuse(newest);
     }
     while (this.#all.size >= limit) {
       const oldest = this.#idle.shift();
@@ -116,6 +112,23 @@
     return connection;
   }
 
+  /**
+   * Returns the most recently used idle connection that fits.
+   *
+   * @param fits - whether a connection may be used
+   * @returns a connection, to be returned with `release` or `discard`;
+   * undefined if there is none
+   */
+  acquireIdle(
+    fits: (connection: UpstreamConnection) => boolean,
+  ): UpstreamConnection | undefined {
+    this.#closeIdle();
+    const idle = this.#idle.findLast(({ connection }) =>
+      connection.established && fits(connection)
+    );
+    return idle === undefined ? undefined : this.#reuse(idle);
+  }
+
   /**
    * Returns a connection to the pool.
    *
@@ -160,6 +173,15 @@
     for (const connection of this.#all) this.#remove(connection);
   }
 
+  #reuse(idle: IdleConnection): UpstreamConnection {
+    const { connection, since } = idle;
+    const now = this.#options.clock.now();
+    this.#idle = this.#idle.filter((other) => other !== idle);
+    this.#reused.set(connection, { idleMs: now - since, at: now });
+    this.#busy.add(connection);
+    return connection;
+  }
+
   #open(): UpstreamConnection {
     const connection: UpstreamConnection = new UpstreamConnection({
       address: this.#options.address,
--- a/tests/platform/grant_client_test.ts
+++ b/tests/platform/grant_client_test.ts
@@ -1,4 +1,6 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import type { Socket } from "node:net";
 import { describe, it } from "node:test";
 import { GrantClient } from "../../platform/grant_client.ts";
 import { systemClock } from "../../src/base/system_clock.ts";
@@ -17,10 +19,13 @@
     fence: 1,
     holdMs: 4000,
     handover: undefined,
+    sameProcess: false,
     onLeaving,
   };
 }
 
+const ACCEPTED = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 describe("GrantClient", { timeout: TEST_TIMEOUT_MS }, () => {
   it("says whether the upstream leaves", async () => {
     let leaving = "";
@@ -47,6 +52,43 @@
     raw.close();
   });
 
+  // Guards against a grant that reaches an upstream which has restarted, where
+  // the leader relies on the tokens that the upstream has received.
+  it("sends to the same process only while a connection to it is open", async () => {
+    const sockets: Socket[] = [];
+    let grants = 0;
+    const raw = await new RawUpstream((socket) => {
+      grants++;
+      if (!sockets.includes(socket)) sockets.push(socket);
+      socket.write(ACCEPTED);
+    }).listen();
+    const end = new AbortController();
+    const client = new GrantClient(systemClock, end.signal);
+    const send = (sameProcess: boolean) =>
+      client.grant(
+        { ...order(raw.port), sameProcess },
+        AbortSignal.timeout(ORDER_TIMEOUT_MS),
+      );
+    assert.equal(await send(true), "not_sent");
+    assert.equal(grants, 0);
+    assert.equal(await send(false), "granted");
+    assert.equal(await send(true), "granted");
+    assert.equal(await send(true), "granted");
+    assert.equal(raw.connections, 1);
+    const closed = once(sockets[0]!, "close");
+    sockets[0]!.resetAndDestroy();
+    await closed;
+    // The reset may arrive with the next order or before it.
+    assert.ok(["unanswered", "not_sent"].includes(await send(true)));
+    assert.equal(await send(true), "not_sent");
+    assert.equal(grants, 3);
+    assert.equal(await send(false), "granted");
+    assert.equal(await send(true), "granted");
+    assert.equal(raw.connections, 2);
+    end.abort();
+    raw.close();
+  });
+
   // Guards against a connection of each order that stays open forever and keeps
   // the processor busy.
   for (const shape of ["a body", "a reason phrase"] as const) {
--- a/tests/ranges/leader_lease_test.ts
+++ b/tests/ranges/leader_lease_test.ts
@@ -96,6 +96,50 @@
     third.stop();
   });
 
+  // Guards against an earlier leader that nobody asks to step down, since its
+  // successor has restarted or released the lease.
+  for (const end of ["is killed and restarts", "releases the lease"] as const) {
+    it(`names the first leader after its successor ${end}`, async () => {
+      const { clock, start, advance, reportUnreachableFor } = createRig();
+      const cutOff = start("vm-1");
+      await advance(200);
+      cutOff.stop();
+      const second = start("vm-2");
+      await reportUnreachableFor(second.lease, 4000);
+      assert.ok(second.lease.held);
+      if (end === "releases the lease") await second.lease.release();
+      second.stop();
+      const third = start("vm-2", "vm-2-2");
+      await advance(400);
+      assert.ok(third.lease.held);
+      assert.deepEqual(
+        third.lease.activeEarlierLeaders.map(({ peerUrl }) => peerUrl),
+        ["http://vm-1"],
+      );
+      assert.ok(third.lease.predecessorOrdersEndAt > clock.now());
+      third.lease.onEarlierLeaderStopped("vm-1-1");
+      assert.deepEqual(third.lease.activeEarlierLeaders, []);
+      assert.ok(third.lease.predecessorOrdersEndAt <= clock.now());
+      third.stop();
+    });
+  }
+
+  // Guards against a row of many leaders in a row that is read as malformed.
+  it("waits for more earlier leaders than the row names", async () => {
+    const { clock, start, advance, reportUnreachableFor } = createRig();
+    let last = start("vm-0");
+    await advance(200);
+    for (let n = 1; n <= 10; n++) {
+      const next = start(`vm-${n}`);
+      last.stop();
+      await reportUnreachableFor(next.lease, 4000);
+      assert.ok(next.lease.held, `vm-${n}`);
+      assert.ok(next.lease.predecessorOrdersEndAt > clock.now() + 9000);
+      last = next;
+    }
+    last.stop();
+  });
+
   // Guards against a new leader that assumes that no one else sends orders
   // because another writer has spoiled the row of the present one.
   const spoiled = [
--- a/tests/ranges/service_ranges_test.ts
+++ b/tests/ranges/service_ranges_test.ts
@@ -13,6 +13,28 @@
   return leader;
 }
 
+/**
+ * Fails the writes of the lease row by one VM.
+ *
+ * @returns a function that ends the fault
+ */
+function cutOffFromStore({ store }: RangeRig, vm: string): () => void {
+  const real = store.transact.bind(store);
+  store.transact = (transaction, signal) => {
+    const text = Buffer.from(transaction.writes[0]?.value ?? []).toString();
+    if (!text.includes(`"schema":1,"vm":"${vm}"`)) {
+      return real(transaction, signal);
+    }
+    store.fault = "down";
+    const failed = real(transaction, signal);
+    store.fault = "none";
+    return failed;
+  };
+  return () => {
+    store.transact = real;
+  };
+}
+
 describe("ServiceRanges", () => {
   // Guards against treating an unreadable row as absent, so that fencing tokens
   // are used again.
@@ -129,6 +151,57 @@
     leader.end.abort();
   });
 
+  // Guards against keys with two owners: a leader that cannot reach the store
+  // renews its grants at an upstream that has restarted, and so has forgotten
+  // the higher tokens with which a successor moved the keys.
+  for (const leaveMs of [0, 400, 800, 1200]) {
+    it(`renews no old grants at upstreams that left after ${leaveMs} ms and restart`, async () => {
+      const ids = ["u-1", "u-2", "u-3"];
+      const rig = new RangeRig();
+      const first = await startLeader(rig);
+      const restoreStore = cutOffFromStore(rig, "vm-1");
+      const second = rig.addCandidate("vm-2", IDS);
+      void second.lease.run();
+      for (let attempt = 0; attempt < 10; attempt++) {
+        if (!second.lease.held) second.lease.onLeaderUnreachable();
+        await rig.advance(400);
+      }
+      assert.ok(second.lease.held);
+      void second.ranges.run(second.end.signal);
+      await rig.advance(leaveMs);
+      for (const id of ids) rig.register(second.view, id, "draining");
+      await rig.advance(600);
+      assert.ok(first.lease.maySendOrders);
+      for (const id of ids) rig.upstreams.restart(id);
+      await rig.advance(4000);
+      assert.deepEqual(rig.upstreams.overlaps, []);
+      for (let key = 0; key < 65_536; key += 1024) {
+        const holders = rig.upstreams.holders(key);
+        assert.equal(holders.length, 1, `key ${key} at ${holders.join()}`);
+        assert.ok(!ids.includes(holders[0]!), `key ${key} at ${holders[0]}`);
+      }
+      restoreStore();
+      first.end.abort();
+      second.end.abort();
+    });
+  }
+
+  // The other side: a restarted upstream gets its keys as soon as the lease is
+  // confirmed again.
+  it("renews grants at a restarted upstream after an outage of the store", async () => {
+    const rig = new RangeRig();
+    const leader = await startLeader(rig);
+    rig.store.fault = "down";
+    await rig.advance(2000);
+    rig.upstreams.restart("u-2");
+    await rig.advance(2000);
+    assert.ok(rig.fractionHeldOnce() < 1);
+    rig.store.fault = "none";
+    await rig.advance(2000);
+    assert.equal(rig.fractionHeldOnce(), 1);
+    leader.end.abort();
+  });
+
   // Guards against keys with two owners, granted by a leader that cannot reach
   // the store and by its successor.
   it("lets a second leader take over while the first still renews grants", async () => {
@@ -136,18 +209,7 @@
     const leader = await startLeader(rig);
     // Only the first leader cannot reach the store.
     const second = rig.addCandidate("vm-2", IDS);
-    const { store } = rig;
-    const real = store.transact.bind(store);
-    store.transact = (transaction, signal) => {
-      const text = Buffer.from(transaction.writes[0]?.value ?? []).toString();
-      if (text.includes("vm-1")) {
-        store.fault = "down";
-        const failed = real(transaction, signal);
-        store.fault = "none";
-        return failed;
-      }
-      return real(transaction, signal);
-    };
+    const restoreStore = cutOffFromStore(rig, "vm-1");
     void second.lease.run();
     for (let attempt = 0; attempt < 10; attempt++) {
       if (!second.lease.held) second.lease.onLeaderUnreachable();
@@ -162,7 +224,7 @@
     }
     assert.equal(rig.fractionHeldOnce(), 1);
     // The first leader reaches the store again and sees an upstream drain.
-    store.transact = real;
+    restoreStore();
     rig.register(leader.view, "u-2", "draining");
     for (let step = 0; step < 30; step++) {
       await rig.advance(100);
--- a/tests/support/lease_upstreams.ts
+++ b/tests/support/lease_upstreams.ts
@@ -13,11 +13,13 @@
  * lease when the grant arrives, and refuse a grant whose fencing token is lower
  * than one they have seen for the same keys.
  */
-export class LeaseUpstreams implements RangeGrants {
+export class LeaseUpstreams {
   readonly #clock: Clock;
   readonly #leases = new Map<string, KeyRangeLease[]>();
   /** Grants and releases that each upstream has received, for their tokens. */
   readonly #seenOrders = new Map<string, KeyRangeLease[]>();
+  /** VMs with a connection on which an upstream accepted a grant, by its id. */
+  readonly #connected = new Map<string, Set<string>>();
   /** IDs of the upstreams that no router can reach. */
   readonly down = new Set<string>();
   /** IDs of the upstreams that say in their answers that they leave. */
@@ -31,10 +33,23 @@
     this.#clock = clock;
   }
 
-  grant(
+  /** Returns the connections of one VM to all upstreams. */
+  connectionsOf(vm: string): RangeGrants {
+    return {
+      grant: (order) => this.#grant(vm, order),
+      release: (order) => this.#release(order),
+    };
+  }
+
+  #grant(
+    vm: string,
     order: Parameters<RangeGrants["grant"]>[0],
   ): ReturnType<RangeGrants["grant"]> {
     if (this.down.has(order.id)) return Promise.resolve("not_sent");
+    const connected = this.#connected.get(order.id) ?? new Set();
+    if (order.sameProcess && !connected.has(vm)) {
+      return Promise.resolve("not_sent");
+    }
     this.grantCount++;
     if (this.leaving.has(order.id)) order.onLeaving();
     if (this.#hasSeenHigherToken(order)) return Promise.resolve("stale");
@@ -55,10 +70,11 @@
       candidate.first < first || candidate.last > last
     );
     this.#leases.set(order.id, [...keptLeases, lease]);
+    this.#connected.set(order.id, connected.add(vm));
     return Promise.resolve("granted");
   }
 
-  release(
+  #release(
     order: Parameters<RangeGrants["release"]>[0],
   ): ReturnType<RangeGrants["release"]> {
     if (this.down.has(order.id)) return Promise.resolve({ kind: "not_sent" });
@@ -76,6 +92,7 @@
 
   /** Restarts an upstream, which forgets its leases and fencing tokens. */
   restart(id: string): void {
+    this.#connected.delete(id);
     this.#leases.delete(id);
     this.#seenOrders.delete(id);
   }
--- a/tests/support/range_rig.ts
+++ b/tests/support/range_rig.ts
@@ -64,7 +64,7 @@
       table: "ranges",
       view,
       lease,
-      grants: this.upstreams,
+      grants: this.upstreams.connectionsOf(vm),
       load: this.load,
       workMs: () => 100,
       speeds: () => new Map(),
