fix(upstreams): tell a reset from the end of an answer without a length

Cause: if the reset arrives with the last bytes, libuv reports an end after it has read them, without the further read that would fail with ECONNRESET. It does so only while it is reading.

Ruled out: the order of the listeners for the socket's error; resets that arrive 20 ms later, which were recognized. A write of no bytes at the end also tells the two apart, but the answer would have to wait for it.

Change: UpstreamSocket stops reading at each chunk and starts again in the check phase of the event loop.

Conclusion: each connection to an upstream now ends with a read, whose result says whether the answer is whole.

--- a/src/upstreams/open_socket.ts
+++ b/src/upstreams/open_socket.ts
@@ -1,6 +1,6 @@
-import { connect } from "node:net";
 import type { Socket } from "node:net";
 import type { Clock } from "../base/clock.ts";
+import { UpstreamSocket } from "./upstream_socket.ts";
 
 const CONNECT_TIMEOUT_MS = 1000;
 /** TCP keep-alive detects a dead connection without application requests. */
@@ -23,7 +23,8 @@
   onDecided: (err: Error | undefined, socket: Socket) => void,
 ): Socket {
   const { hostname, port } = new URL(`http://${address}`);
-  const socket = connect({
+  const socket = new UpstreamSocket();
+  socket.connect({
     host: hostname.replace(/^\[|\]$/g, ""),
     // `URL` omits the default port of the scheme.
     port: port === "" ? DEFAULT_PORT : Number(port),
--- a/tests/direct/attempt_test.ts
+++ b/tests/direct/attempt_test.ts
@@ -112,6 +112,36 @@
 ];
 
 describe("attempt", () => {
+  // Guards against a truncated answer that is treated as complete, because
+  // Node.js reports a reset that arrives with the last bytes as an end.
+  for (const bytes of [0, 2, 4, 200_000]) {
+    const answer = `${HEAD}Connection: close\r\n\r\n${"b".repeat(bytes)}`;
+    const endings: Record<string, (socket: Socket) => void> = {
+      "at once": (socket) => socket.resetAndDestroy(),
+      "in the next turn of the event loop": (socket) =>
+        setImmediate(() => socket.resetAndDestroy()),
+      "after 1 ms": (socket) => setTimeout(() => socket.resetAndDestroy(), 1),
+    };
+    for (const [when, reset] of Object.entries(endings)) {
+      it(`loses an answer without a length, reset ${when} after ${bytes} bytes`, async () => {
+        for (let n = 0; n < 20; n++) {
+          const result = await send((socket) =>
+            socket.write(answer, () => reset(socket))
+          );
+          assert.equal(result.kind, "lost");
+        }
+      });
+    }
+
+    it(`delivers an answer without a length that ends after ${bytes} bytes`, async () => {
+      for (let n = 0; n < 20; n++) {
+        const result = await send((socket) => socket.end(answer));
+        assert.ok(result.kind === "answered");
+        assert.equal(result.body.length, bytes);
+      }
+    });
+  }
+
   // Guards against long answers that fill the memory together, although each of
   // them is within its limit.
   it("loses a long answer for which no memory is left", async () => {
