fix(links): close only connections without a request when a stop ends its wait

Callers lost the rest of a long answer, or got none, when a router stopped.

Cause: closeIdleConnections of Node.js takes a connection for idle once its response has been ended, sent or not, and closes it although a request lies unread in the socket's buffer.

Ruled out: requests in flight by our own count; these were awaited.

Change: the server closes idle connections by its own count, after a poll of all sockets, until no request is in flight.

Failed before: draining_server_test (a long answer to a slow caller; a request that has not been read).

Conclusion: two ways to lose a request around SIGTERM are closed. That they are the users' cases is not shown.

--- a/src/direct/direct_listener.ts
+++ b/src/direct/direct_listener.ts
@@ -10,7 +10,7 @@
 import { hasBody } from "../links/has_body.ts";
 import { writeRefusal } from "../links/write_refusal.ts";
 import { withTimeout } from "../vms/with_timeout.ts";
-import { afterNextPoll } from "./after_next_poll.ts";
+import { afterNextPoll } from "../base/after_next_poll.ts";
 import { CallerBody } from "./caller_body.ts";
 import type { CallerCall } from "./caller_call.ts";
 import type { CallOutcome } from "./call_outcome.ts";
--- a/src/links/draining_server.ts
+++ b/src/links/draining_server.ts
@@ -6,6 +6,7 @@
   type ServerResponse,
 } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
+import { afterNextPoll } from "../base/after_next_poll.ts";
 import type { Clock } from "../base/clock.ts";
 
 /** Interval of the checks whether a drain may proceed. */
@@ -142,8 +143,13 @@
     // connections, on which a request may be arriving.
     NetServer.prototype.close.call(this.#server);
     // By now the senders have learned of the drain or the wait was ended.
-    this.#server.closeIdleConnections();
-    while (this.#inFlight.size > 0) await this.#clock.sleep(DRAIN_CHECK_MS);
+    for (;;) {
+      // A request that a busy process has not read yet looks like none.
+      await afterNextPoll();
+      this.#closeIdle();
+      if (this.#inFlight.size === 0) break;
+      await this.#clock.sleep(DRAIN_CHECK_MS);
+    }
     this.close();
   }
 
@@ -185,6 +191,18 @@
     });
   }
 
+  /**
+   * Closes the connections without a request in flight. The method of Node.js
+   * would also close those whose answer the caller has not taken yet.
+   */
+  #closeIdle(): void {
+    for (const [socket, connection] of this.#connections) {
+      if (connection.inFlight === 0 && !hasPartialRequest(socket, connection)) {
+        socket.destroy();
+      }
+    }
+  }
+
   #isQuiet(): boolean {
     const quietSince = this.#clock.now() - QUIET_PERIOD_MS;
     if (this.#lastRequestAt > quietSince) return false;
@@ -192,10 +210,14 @@
       if (connection.auxiliary) continue;
       if (
         connection.inFlight > 0 || connection.lastActiveAt > quietSince ||
-        // Part of the next request's headers has arrived.
-        socket.bytesRead > connection.bytesReadAtRequestEnd
+        hasPartialRequest(socket, connection)
       ) return false;
     }
     return true;
   }
 }
+
+/** Returns whether part of the next request's headers has arrived. */
+function hasPartialRequest(socket: Socket, connection: Connection): boolean {
+  return socket.bytesRead > connection.bytesReadAtRequestEnd;
+}
