fix(direct): end requests before a stopping router is killed

Callers whose requests came during a planned stop got no answer, some after an upstream had begun to run them.

Cause: requests were accepted for half of the time to stop, however long they might take, and awaited until the process was killed.

Ruled out: connections closed as idle, and answers lost on their way: the logs had no line of these requests, so they were in flight when the process ended.

Change: from SIGTERM on, a request that will probably not end in time (twice its mean run time, or its own limit) is refused at once as not run; requests are accepted for 0.45 of the time, as the signal may be handled late; what is in flight 250 ms before the kill gets 504, outcome unknown, and a log line.

New tests: direct_router_test (6 cases), direct_listener_test.

--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -82,9 +82,15 @@
 const READINESS_DELAY_MS = 2600;
 /**
  * Fraction of the time to stop after which no more requests are accepted. The
- * remaining time is for requests in flight.
+ * remaining time is for requests in flight. Below a half, since a busy process
+ * handles the signal late.
  */
-const DRAIN_ACCEPT_FRACTION = 0.5;
+const DRAIN_ACCEPT_FRACTION = 0.45;
+/**
+ * Time before the process is killed at which requests in flight are answered
+ * although they have not ended.
+ */
+const CUT_OFF_BEFORE_KILL_MS = 250;
 /**
  * After this time, a VM that has read the configuration and the registry
  * becomes ready even if keys have no known owners.
@@ -308,7 +314,10 @@
       cfg.stopMs * DRAIN_ACCEPT_FRACTION,
     );
     await Promise.all([
-      this.#callerListener.drain(acceptTimeout),
+      this.#callerListener.drain({
+        stopMs: Math.max(0, cfg.stopMs - CUT_OFF_BEFORE_KILL_MS),
+        signal: acceptTimeout,
+      }),
       this.#lease.release(),
     ]);
     this.#shutdown.abort();
--- a/src/direct/direct_listener.ts
+++ b/src/direct/direct_listener.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { ChangeNotifier } from "../base/change_notifier.ts";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
 import { refuseUnparsableRequest } from "../entry/refuse_unparsable_request.ts";
@@ -21,7 +22,7 @@
 type Options = {
   clock: Clock;
   logger: Logger;
-  router: Pick<DirectRouter, "handle" | "timeoutMs">;
+  router: Pick<DirectRouter, "handle" | "timeoutMs" | "stopWithin">;
   protocol: WireProtocol;
   /** Current limit of a request's body, in bytes. */
   maxBodyBytes: () => number;
@@ -55,6 +56,8 @@
   readonly #opts: Options;
   readonly #server: DrainingServer;
   readonly #bodyMemory: ByteBudget;
+  /** Fires when requests in flight can no longer be awaited. */
+  readonly #cutOff = new ChangeNotifier();
 
   /**
    * @param opts - the router, the wire protocol, and the limits
@@ -109,16 +112,26 @@
   }
 
   /**
-   * Stops without interrupting requests in flight.
+   * Stops without interrupting requests in flight, as long as `stopMs` allows.
+   * Requests that are in flight after that time are answered, with an unknown
+   * outcome, before the process is killed.
    *
-   * @param signal - ends the wait for idle connections when it aborts
+   * @param opts - `stopMs`, the time until all requests must have ended, in
+   * milliseconds, and a signal that ends the wait for idle connections
    * @returns a promise that resolves when all connections are closed
    */
-  drain(signal: AbortSignal): Promise<void> {
-    return this.#server.drain({
-      minListenMs: this.#opts.readinessDelayMs,
-      signal,
+  async drain(opts: { stopMs: number; signal: AbortSignal }): Promise<void> {
+    const { clock, readinessDelayMs, router } = this.#opts;
+    router.stopWithin(opts.stopMs);
+    const drained = new AbortController();
+    void clock.sleep(opts.stopMs, drained.signal).then(() => {
+      if (!drained.signal.aborted) this.#cutOff.notify();
     });
+    await this.#server.drain({
+      minListenMs: readinessDelayMs,
+      signal: opts.signal,
+    });
+    drained.abort();
   }
 
   async #handle(
@@ -175,7 +188,7 @@
         req,
         res,
         requestId,
-        await router.handle(call, disconnected.signal),
+        await this.#serve(call, disconnected.signal),
       );
     } catch (err) {
       // A bug must fail only this request, not the whole router.
@@ -188,6 +201,31 @@
     }
   }
 
+  /** Serves a request, or answers it when it can no longer be awaited. */
+  async #serve(
+    call: CallerCall,
+    disconnected: AbortSignal,
+  ): Promise<CallOutcome> {
+    const { router, logger } = this.#opts;
+    const served = new AbortController();
+    const outcome = await Promise.race([
+      router.handle(call, disconnected),
+      this.#cutOff.next(served.signal).then(() => undefined),
+    ]);
+    served.abort();
+    if (outcome !== undefined) return outcome;
+    logger.warn({ reqId: call.requestId }, "request cut off by the stop");
+    return {
+      kind: "refused",
+      refusal: {
+        code: "deadline_exceeded",
+        outcome: "outcome_unknown",
+        message: "the router stops and can no longer wait for the answer",
+      },
+      retryAfterMs: undefined,
+    };
+  }
+
   #readBody(
     body: CallerBody,
     limits: { maxWaitMs: number; disconnected: AbortSignal },
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -82,6 +82,11 @@
 const MAX_STARTUP_WAIT_MS = 400;
 /** The operators have to write another configuration first. */
 const UNUSABLE_ROUTE_RETRY_AFTER_MS = 5000;
+/**
+ * A request that arrives while the router stops is refused if this many times
+ * its mean run time is longer than the remaining time.
+ */
+const STOP_WORK_FACTOR = 2;
 /** Retry delay for refused callers if the refusal itself gives none. */
 const DEFAULT_RETRY_AFTER_MS = 250;
 
@@ -94,6 +99,8 @@
   readonly #splitter = new RouteSplitter();
   readonly #sender: UpstreamSender;
   readonly #startedAt: number;
+  /** Monotonic milliseconds by which all requests must have ended. */
+  #stopsAt = Infinity;
 
   /**
    * @param opts - view of the deployment, protocol, limits and callbacks
@@ -115,6 +122,15 @@
     return match.kind === "route" ? match.route.timeoutMs : undefined;
   }
 
+  /**
+   * Refuses requests from now on that will probably not end in time.
+   *
+   * @param ms - time until the router stops, in milliseconds
+   */
+  stopWithin(ms: number): void {
+    this.#stopsAt = this.#opts.clock.now() + ms;
+  }
+
   /**
    * Serves one request and records its outcome.
    *
@@ -156,6 +172,18 @@
     if (keyed && call.key !== undefined) this.#opts.countKey(service, call.key);
     budget.onRequest(service);
     const limitMs = Math.min(call.deadlineMs ?? Infinity, route.timeoutMs);
+    const likelyMs = Math.min(
+      limitMs,
+      STOP_WORK_FACTOR * this.#opts.work.mean(route),
+    );
+    if (clock.now() + likelyMs > this.#stopsAt) {
+      return this.#refuseUnrouted(
+        call,
+        "draining",
+        "the router stops before the request could end",
+        0,
+      );
+    }
     const state: CallState = {
       call,
       route,
--- a/tests/direct/direct_listener_test.ts
+++ b/tests/direct/direct_listener_test.ts
@@ -25,6 +25,8 @@
 const MAX_BODY_BYTES = 100;
 const BODY_MEMORY_BYTES = 150;
 const BLOCKED_MS = 50;
+/** Closes idle connections at once. */
+const NOW = { stopMs: 60_000, signal: AbortSignal.abort() };
 
 function post(headers: string): string {
   return "POST /a/ HTTP/1.1\r\nHost: h\r\nFescuerun-Request-Id: r\r\n" +
@@ -46,6 +48,7 @@
         return answered({});
       },
       timeoutMs: () => timeoutMs,
+      stopWithin: () => undefined,
     },
     protocol: httpHeaders,
     maxBodyBytes: () => MAX_BODY_BYTES,
@@ -64,7 +67,11 @@
   const listener = new DirectListener({
     clock: systemClock,
     logger: silentLogger(),
-    router: { handle: () => Promise.resolve(outcome), timeoutMs: () => 5000 },
+    router: {
+      handle: () => Promise.resolve(outcome),
+      timeoutMs: () => 5000,
+      stopWithin: () => undefined,
+    },
     protocol: httpHeaders,
     maxBodyBytes: () => MAX_BODY_BYTES,
     bodyMemoryBytes: BODY_MEMORY_BYTES,
@@ -85,7 +92,7 @@
     caller.write(REQUEST);
     await caller.until(/body[^]*body$/);
     caller.socket.destroy();
-    await listener.drain(AbortSignal.abort());
+    await listener.drain(NOW);
   });
 
   // Guards against an answer that was truncated when its upstream crashed, but
@@ -98,7 +105,7 @@
     assert.doesNotMatch(text, /content-length|transfer-encoding/i);
     assert.match(text, /connection: close/i);
     await caller.closed();
-    await listener.drain(AbortSignal.abort());
+    await listener.drain(NOW);
   });
 
   it("sends a retry delay with a refusal", async () => {
@@ -112,7 +119,7 @@
     assert.match(text, /fescuerun-request-id: 9c41d07be2a35f68/i);
     assert.match(text, /"next":"repeats with a growing pause"/);
     caller.socket.destroy();
-    await listener.drain(AbortSignal.abort());
+    await listener.drain(NOW);
   });
 
   // What callers send, and the status and retry delay that they get.
@@ -139,7 +146,7 @@
       assert.match(await caller.until(/\r\n\r\n.+/s), status);
       assert.deepEqual(bodies, status.test(" 200 ") ? ["body"] : []);
       caller.socket.destroy();
-      await listener.drain(AbortSignal.abort());
+      await listener.drain(NOW);
     });
   }
 
@@ -174,7 +181,7 @@
       .write(`${post("Content-Length: 100")}${full}`);
     assert.match(await third.until(/body$/), / 200 /);
     for (const caller of [first, small, third]) caller.socket.destroy();
-    await listener.drain(AbortSignal.abort());
+    await listener.drain(NOW);
     const text = await metrics.registry.metrics();
     assert.match(text, /refused_bodies_total\{reason="no_memory"\} 2/);
   });
@@ -192,7 +199,7 @@
       status = await next.until(/\r\n\r\n.+/s);
       next.socket.destroy();
     }
-    await listener.drain(AbortSignal.abort());
+    await listener.drain(NOW);
   });
 
   // Guards against a caller that stalls midway and holds memory and a stop for
@@ -205,7 +212,7 @@
     assert.match(answer, / 408 /);
     assert.match(answer, /not_run/);
     assert.deepEqual(bodies, []);
-    await listener.drain(AbortSignal.abort());
+    await listener.drain(NOW);
     await caller.closed();
   });
 
@@ -232,7 +239,26 @@
       await Promise.all(callers.map((caller) => caller.closed()));
       assert.equal(bodies.length, 0);
       first.socket.destroy();
-      await listener.drain(AbortSignal.abort());
+      await listener.drain(NOW);
     });
   }
+
+  // Guards against requests that end with the process, without an answer, when
+  // the time to stop is over.
+  it("answers requests that have not ended shortly before it is killed", async () => {
+    const { port, until, listener } = await serveBodies();
+    const callers = Array.from(
+      { length: 3 },
+      () => new RawCaller(port).write(`${post("Content-Length: 2")}hi`),
+    );
+    await until(callers.length);
+    const drained = listener.drain({ ...NOW, stopMs: 20 });
+    for (const caller of callers) {
+      const text = await caller.closed();
+      assert.match(text, /^HTTP\/1.1 504 /);
+      assert.match(text, /connection: close/i);
+      assert.match(text, /outcome_unknown/);
+    }
+    await drained;
+  });
 });
--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -107,6 +107,8 @@
     disconnected?: AbortSignal;
     /** Number of requests, one after the other. */
     calls?: number;
+    /** Time until the router stops, in milliseconds. */
+    stopMs?: number;
   } = {},
 ) {
   const rig = new FleetRig(systemClock, 1);
@@ -131,6 +133,7 @@
     });
   }
   const router = routerOf(rig, options.slack ?? 50);
+  if (options.stopMs !== undefined) router.stopWithin(options.stopMs);
   const handle = () =>
     router.handle(
       testCall({
@@ -161,6 +164,29 @@
 }
 
 describe("DirectRouter", () => {
+  // Time until the router stops, latency objective of the route (3 times its
+  // assumed run time), and the outcome. The caller's deadline is 700 ms. Guards
+  // against requests that are sent to an upstream late in a planned stop and end
+  // with the process, without an answer.
+  const stops: [number, number, string | number, number[]][] = [
+    [10_000, 1500, 200, [1]],
+    [750, 1500, 200, [1]],
+    [650, 1500, "draining, not_run", [0]],
+    [650, 900, 200, [1]],
+    [500, 900, "draining, not_run", [0]],
+    [0, 300, "draining, not_run", [0]],
+  ];
+  for (const [stopMs, objectiveMs, expected, runs] of stops) {
+    it(`stops within ${stopMs} ms, objective ${objectiveMs} ms: ${expected}`, async () => {
+      const served = await serve(["ok"], { objectiveMs }, { stopMs });
+      assert.equal(summary(served.outcome), expected);
+      assert.deepEqual(served.runs, runs);
+      if (served.outcome.kind === "refused") {
+        assert.equal(served.outcome.retryAfterMs, 0);
+      }
+    });
+  }
+
   // Whether the request is idempotent, the behaviour of each upstream in the
   // order of preference, the outcome for the caller, and the number of requests
   // that each upstream received.
