fix(direct): answer callers that send their end while a request is in flight

Callers that close their sending side after a request got no answer although an upstream ran it. During a stop there was no log line of it either.

Cause: Node.js ends a connection when it reads the caller's end. The router took that for a caller that has left, threw the answer away, and no longer counted the request as in flight, so that a stopping process could end before it.

Change: connections stay half open. A request that may run once and was sent before the caller's end is awaited and answered. For others the end still counts as leaving, so that upstreams do not work for callers that are gone.

Failed before: direct_listener_test, direct_router_test (one case each).

That it is the users' case is suspected: whether their callers do this is not known.

--- a/src/direct/direct_listener.ts
+++ b/src/direct/direct_listener.ts
@@ -79,6 +79,9 @@
         void this.#handle(req, res, expectsContinue),
       isAuxiliary: () => false,
     });
+    // Missing in the types. Without it, Node.js closes a connection as soon as
+    // the caller sends its end, also while a request is in flight.
+    Object.assign(this.#server.server, { httpAllowHalfOpen: true });
     this.#server.server.on(
       "clientError",
       (err: NodeJS.ErrnoException, socket: Socket) => {
@@ -142,11 +145,16 @@
     const { clock, protocol, router, logger } = this.#opts;
     const receivedAt = clock.now();
     const disconnected = new AbortController();
+    const closed = new AbortController();
+    const onEnd = () => disconnected.abort();
+    req.socket.once("end", onEnd);
     req.on("error", () => undefined);
     res.once("close", () => {
-      if (!res.writableFinished) disconnected.abort();
+      req.socket.off("end", onEnd);
+      if (res.writableFinished) return;
+      closed.abort();
+      disconnected.abort();
     });
-    // Node.js closes a connection whose caller has sent its end.
     const hasLeft = () =>
       disconnected.signal.aborted || req.socket.readableEnded;
     const headerFields = protocol.readCall(req.headers);
@@ -165,7 +173,10 @@
           disconnected: disconnected.signal,
         })
         : { kind: "read" as const, body: undefined };
-      if (read.kind === "gone" || hasLeft()) return;
+      if (read.kind === "gone" || hasLeft()) {
+        res.destroy();
+        return;
+      }
       if (read.kind !== "read") {
         this.#opts.metrics.refusedBodies.inc({ reason: read.kind });
         this.#answer(req, res, requestId, this.#bodyRefusal(read.kind));
@@ -183,12 +194,15 @@
         key: headerFields.key,
       };
       await afterNextPoll();
-      if (hasLeft()) return;
+      if (hasLeft()) {
+        res.destroy();
+        return;
+      }
       this.#answer(
         req,
         res,
         requestId,
-        await this.#serve(call, disconnected.signal),
+        await this.#serve(call, disconnected.signal, closed.signal),
       );
     } catch (err) {
       // A bug must fail only this request, not the whole router.
@@ -205,11 +219,12 @@
   async #serve(
     call: CallerCall,
     disconnected: AbortSignal,
+    closed: AbortSignal,
   ): Promise<CallOutcome> {
     const { router, logger } = this.#opts;
     const served = new AbortController();
     const outcome = await Promise.race([
-      router.handle(call, disconnected),
+      router.handle(call, disconnected, closed),
       this.#cutOff.next(served.signal).then(() => undefined),
     ]);
     served.abort();
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -135,12 +135,15 @@
    * Serves one request and records its outcome.
    *
    * @param call - a caller's request
-   * @param disconnected - aborts when the caller disconnects
+   * @param disconnected - aborts when the caller disconnects or sends its end;
+   * nothing is sent to an upstream after that
+   * @param closed - aborts when the caller can no longer be answered
    * @returns the answer or the refusal for the caller
    */
   async handle(
     call: CallerCall,
     disconnected: AbortSignal,
+    closed = disconnected,
   ): Promise<CallOutcome> {
     const { view, clock, budget } = this.#opts;
     if (!view.complete) await this.#waitForStart(call, disconnected);
@@ -197,7 +200,7 @@
       failure: undefined,
       steps: [],
     };
-    const outcome = await this.#serve(state, disconnected);
+    const outcome = await this.#serve(state, disconnected, closed);
     this.#recordOutcome(state, outcome, clock.now() - call.receivedAt);
     return outcome;
   }
@@ -228,12 +231,21 @@
   async #serve(
     state: CallState,
     disconnected: AbortSignal,
+    closed: AbortSignal,
   ): Promise<CallOutcome> {
     const { clock } = this.#opts;
     let misdirected = 0;
     const isDisconnected = () => disconnected.aborted;
+    // A caller that has sent its end may still read. A non-idempotent request
+    // in flight is not aborted, so its answer is sent to such a caller.
+    const mayBeAnswered = () =>
+      state.route.idempotent ? !disconnected.aborted : !closed.aborted;
     for (;;) {
-      if (isDisconnected()) return { kind: "gone" };
+      if (isDisconnected()) {
+        return state.sends > 0 && mayBeAnswered()
+          ? this.#fail(state, "overloaded", "the caller has sent its end")
+          : { kind: "gone" };
+      }
       if (clock.now() >= state.deadlineAt) return this.#endAtDeadline(state);
       const choice = this.#choose(state);
       if (state.keyed && mayBeStale(choice)) this.#opts.onStaleOwnership();
@@ -259,7 +271,7 @@
         choice,
         disconnected,
       );
-      if (isDisconnected()) return { kind: "gone" };
+      if (!mayBeAnswered()) return { kind: "gone" };
       const verdict = judgeResult(result);
       state.steps.push(`${upstream.entry.id}: ${verdict.text}`);
       switch (verdict.kind) {
--- a/tests/direct/direct_listener_test.ts
+++ b/tests/direct/direct_listener_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { httpHeaders } from "../../platform/http_headers.ts";
+import { afterNextPoll } from "../../src/base/after_next_poll.ts";
 import { systemClock } from "../../src/base/system_clock.ts";
 import type { CallOutcome } from "../../src/direct/call_outcome.ts";
 import { DirectListener } from "../../src/direct/direct_listener.ts";
@@ -261,4 +262,21 @@
     }
     await drained;
   });
+
+  // Guards against a caller that sends its end after its request, still reads,
+  // and gets no answer although an upstream runs the request.
+  it("answers a caller that sends its end while its request is in flight", async () => {
+    const { port, until, listener, finish } = await serveBodies();
+    const caller = new RawCaller(port).write(`${post("Content-Length: 2")}hi`);
+    await until(1);
+    const ended = new Promise((resolve) =>
+      caller.socket.once("finish", resolve)
+    );
+    caller.socket.end();
+    await ended;
+    await afterNextPoll();
+    finish();
+    assert.match(await caller.closed(), /^HTTP\/1.1 200 [^]*body$/);
+    await listener.drain(NOW);
+  });
 });
--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -438,4 +438,33 @@
       raw.close();
     });
   }
+
+  // Guards against a caller that has sent its end, still reads, and gets no
+  // answer to a request that an upstream runs.
+  for (
+    const { idempotent, expected } of [
+      { idempotent: true, expected: "gone" },
+      { idempotent: false, expected: 200 },
+    ]
+  ) {
+    it(`gives a half-closed caller ${expected}, idempotent: ${idempotent}`, async () => {
+      const rig = new FleetRig(systemClock, 1);
+      rig.configure([rig.route({ idempotent })]);
+      const ended = new AbortController();
+      const raw = await new RawUpstream((socket) => {
+        ended.abort();
+        setImmediate(() => behave(socket, "ok"));
+      }).listen();
+      rig.view.setRegistry([]);
+      rig.upstream({ id: "u-0", address: `127.0.0.1:${raw.port}` });
+      const outcome = await routerOf(rig, 50).handle(
+        testCall({ receivedAt: systemClock.now(), deadlineMs: 5000 }),
+        ended.signal,
+        new AbortController().signal,
+      );
+      assert.equal(summary(outcome), expected);
+      for (const upstream of rig.view.upstreams) upstream.close();
+      raw.close();
+    });
+  }
 });
