fix(direct): keep no connection after an answer that names no request

Callers were told that a request had not run, or it ran at a second upstream, after an upstream had written an earlier refusal once more on a kept connection.

Cause: refusals need not name their request, and one without a name was believed on any connection.

Ruled out: copies of answers that name their request; these were not believed.

Change: a connection is closed after an answer that names no request, so a second copy of it finds no next request there.

Failed before: late_answers_test, 6 of 6 new cases; all pass now.

Conclusion: costs a new connection after each such refusal; a copy can no longer be taken for the refusal of another request.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -50,6 +50,7 @@
     options.idempotent,
   );
   let sent = false;
+  let reusable = true;
   const exchange = new UpstreamExchange({
     connection,
     request: call,
@@ -63,8 +64,14 @@
       return undefined;
     },
     onEnded: (err) => {
-      if (err === undefined) upstream.connections.release(connection);
-      else upstream.connections.discard(connection, err);
+      if (err !== undefined) upstream.connections.discard(connection, err);
+      else if (reusable) upstream.connections.release(connection);
+      else {
+        upstream.connections.discard(
+          connection,
+          new Error("the answer names no request"),
+        );
+      }
     },
   });
   const ended = new AbortController();
@@ -82,7 +89,9 @@
   upstream.load.onSent();
   upstream.warmUp.onSent(clock.now());
   try {
-    return await readAnswer(exchange, options);
+    return await readAnswer(exchange, options, () => {
+      reusable = false;
+    });
   } finally {
     upstream.load.onEnded();
     signal.removeEventListener("abort", abortExchange);
@@ -93,6 +102,7 @@
 async function readAnswer(
   exchange: UpstreamExchange,
   { call, upstream, protocol, clock, answerMemory }: Options,
+  onUnnamed: () => void,
 ): Promise<AttemptResult> {
   const head = await exchange.head;
   switch (head.kind) {
@@ -112,6 +122,9 @@
         status,
         headers,
       );
+      // Refusals need not name their request. A late second copy of one would be
+      // taken for a refusal of the next request on the connection.
+      if (answer.identity === "absent") onUnnamed();
       // The expected upstream no longer has this address. Until its registry
       // entry is removed, it counts as unreachable and is tried only after a
       // backoff.
--- a/tests/direct/late_answers_test.ts
+++ b/tests/direct/late_answers_test.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
 import { httpHeaders } from "../../platform/http_headers.ts";
+import { afterNextPoll } from "../../src/base/after_next_poll.ts";
 import { systemClock } from "../../src/base/system_clock.ts";
 import { attempt } from "../../src/direct/attempt.ts";
 import { ByteBudget } from "../../src/limits/byte_budget.ts";
@@ -78,4 +79,50 @@
       raw.close();
     });
   }
+
+  // Guards against a request that an upstream runs, while its caller is told
+  // that it has not run, or it is sent to a second upstream: the upstream has
+  // repeated an earlier refusal, which need not name its request.
+  for (const status of ["503 Full", "421 Misdirected", "429 Busy"]) {
+    for (const idempotent of [true, false]) {
+      it(`is not taken for a refusal, ${status}, idempotent: ${idempotent}`, async () => {
+        const refusal = `HTTP/1.1 ${status}\r\nFescuerun-Not-Executed: 1\r\n` +
+          "Content-Length: 0\r\n\r\n";
+        const refused = new Set<Socket>();
+        const run: string[] = [];
+        let requests = 0;
+        const raw = await new RawUpstream((socket, text) => {
+          const id = /fescuerun-request-id: (\S+)/i.exec(text)?.[1] ?? "";
+          if (refused.has(socket)) {
+            run.push(id);
+            socket.write(refusal + answerTo(id));
+          } else if (requests++ % 3 === 0) {
+            refused.add(socket);
+            socket.write(refusal);
+          } else socket.write(answerTo(id));
+        }).listen();
+        const upstream = testUpstream({ address: `127.0.0.1:${raw.port}` });
+        const kinds = new Set<string>();
+        for (let n = 0; n < REQUESTS; n++) {
+          const requestId = `request-${n}`;
+          const { kind } = await attempt({
+            call: testCall({ requestId }),
+            upstream,
+            idempotent,
+            protocol: httpHeaders,
+            clock: systemClock,
+            deadlineAt: systemClock.now() + DEADLINE_MS,
+            maxConnections: 1,
+            answerMemory: new ByteBudget(ANSWER_MEMORY_BYTES),
+          }, new AbortController().signal);
+          kinds.add(kind);
+          if (run.includes(requestId)) assert.notEqual(kind, "rejected");
+          await afterNextPoll();
+        }
+        assert.ok(kinds.has("rejected") && kinds.has("answered"));
+        upstream.close();
+        raw.close();
+      });
+    }
+  }
 });
