--- a/tests/platform/grant_client_test.ts
+++ b/tests/platform/grant_client_test.ts
@@ -89,6 +89,53 @@
     raw.close();
   });
 
+  // Guards against keys that are granted to the next upstream while the last one
+  // is still at work on them: a late second copy of the answer to an earlier
+  // order is taken for the answer to a release.
+  it("takes no second copy of an answer for that of a release", async () => {
+    const last = new WeakMap<Socket, string>();
+    let releases = 0;
+    const raw = await new RawUpstream((socket, text) => {
+      const copy = last.get(socket);
+      const answer = text.includes("/api/release")
+        ? ACCEPTED.replace("OK", `OK\r\nFescuerun-Handover: h${++releases}`)
+        : ACCEPTED;
+      last.set(socket, answer);
+      socket.write(copy ?? answer);
+    }).listen();
+    const end = new AbortController();
+    const client = new GrantClient(systemClock, end.signal);
+    const timeout = () => AbortSignal.timeout(ORDER_TIMEOUT_MS);
+    for (const handover of ["h1", "h2", "h3"]) {
+      assert.equal(await client.grant(order(raw.port), timeout()), "granted");
+      assert.deepEqual(
+        await client.release(order(raw.port), timeout()),
+        { kind: "released", handover },
+      );
+    }
+    end.abort();
+    raw.close();
+  });
+
+  // Guards against renewals that end because of a second copy of a refusal.
+  it("takes no second copy of a refusal for that of the next grant", async () => {
+    const refused = new Set<Socket>();
+    const refusal = "HTTP/1.1 409 Stale\r\nContent-Length: 0\r\n\r\n";
+    let grants = 0;
+    const raw = await new RawUpstream((socket) => {
+      const stale = grants++ === 0 || refused.has(socket);
+      if (stale) refused.add(socket);
+      socket.write(stale ? refusal : ACCEPTED);
+    }).listen();
+    const end = new AbortController();
+    const client = new GrantClient(systemClock, end.signal);
+    const timeout = () => AbortSignal.timeout(ORDER_TIMEOUT_MS);
+    assert.equal(await client.grant(order(raw.port), timeout()), "stale");
+    assert.equal(await client.grant(order(raw.port), timeout()), "granted");
+    end.abort();
+    raw.close();
+  });
+
   // Guards against a connection of each order that stays open forever and keeps
   // the processor busy.
   for (const shape of ["a body", "a reason phrase"] as const) {
