--- a/src/ranges/range_controller.ts
+++ b/src/ranges/range_controller.ts
@@ -136,7 +136,7 @@
     await Promise.all([
       run("leader terms", () => this.#runTerms()),
       run("key reports", () => this.#sendReports()),
-      run("earlier leaders", () => this.#askEarlierLeadersToStepDown()),
+      run("predecessor", () => this.#askEarlierLeadersToStepDown()),
     ]);
   }
 
