feat(rows): measure and log how old what a VM knows may be

Cause: of the three hypotheses on configuration in force late, the logs tell none from the others: they say neither where a version came from nor how long ago the store confirmed what a VM uses.

Change: the store's responses are dated by the store's own monotonic clock (RemoteClock), conservatively; a relay reports the age with its changes; a follower keeps the time as of which its rows are complete, by the monotonic or the wall clock, whichever has advanced more, since the former stands still while a process is suspended. New: `source` and `latenessMs` of "configuration applied", "table may be out of date" and "table is current again", `configAgeMs` of requests, fescuerun_table_age_seconds and fescuerun_tables_overdue_total. "request ended" now names the version from which the route was taken, before that the newest one at its end.

No logic changed: what a relay answers for, and when a VM calls the store, are as before.

--- a/dev/soak/run_upstream.ts
+++ b/dev/soak/run_upstream.ts
@@ -1,4 +1,5 @@
 import { createServer } from "node:http";
+import { systemClock } from "../../src/base/system_clock.ts";
 import { STANDIN_TABLES } from "../../platform/standins/standin_tables.ts";
 import { upstreamRow } from "../../platform/standins/upstream_row.ts";
 import { UpstreamServer } from "../../platform/standins/upstream_server.ts";
@@ -55,7 +56,10 @@
     });
   });
   await listenOn(control, opts.controlPort);
-  const store = new TableClient(`127.0.0.1:${opts.storePort}`);
+  const store = new TableClient({
+    address: `127.0.0.1:${opts.storePort}`,
+    clock: systemClock,
+  });
   let exitAt = Infinity;
   process.on("SIGTERM", () => {
     exitAt = Math.min(exitAt, hostClock.now() + DRAIN_DURATION_MS);
--- a/dev/standins/memory_row_store.ts
+++ b/dev/standins/memory_row_store.ts
@@ -61,7 +61,11 @@
     const fault = this.#faultResult<never>(signal);
     if (fault !== undefined) return fault;
     const rows = [...this.rows.values()].filter((row) => row.table === table);
-    return okAsync({ rows, version: this.#version });
+    return okAsync({
+      rows,
+      version: this.#version,
+      asOf: this.#clock.now(),
+    });
   }
 
   waitForChanges(
@@ -107,7 +111,11 @@
         signal,
       );
     }
-    return okAsync({ changes: changesAfter(), version: this.#version });
+    return okAsync({
+      changes: changesAfter(),
+      version: this.#version,
+      asOf: this.#clock.now(),
+    });
   }
 
   #faultResult<T>(
--- a/src/direct/call_state.ts
+++ b/src/direct/call_state.ts
@@ -10,6 +10,10 @@
   service: string;
   /** Whether the service is keyed. */
   keyed: boolean;
+  /** Version of the configuration that the route is from. */
+  config: number;
+  /** Age of that configuration when the route was chosen, in milliseconds. */
+  configAgeMs: number | undefined;
   /** Deadline in monotonic milliseconds. */
   deadlineAt: number;
   /** Upstreams that are not chosen again for this request. */
--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -224,6 +224,7 @@
         countKey: (service, key) =>
           this.#rangeController.countKey(service, key),
         onStaleOwnership: () => this.#relay.refresh(),
+        configAgeMs: () => this.#operatorsFollower.ageMs,
       }),
       protocol,
       maxBodyBytes: () =>
@@ -332,12 +333,28 @@
     const { signal } = this.#shutdown;
     while (!signal.aborted) {
       this.#view.removeMissing();
+      this.#checkAges();
       const idleMs = this.#view.config?.requests.idleTimeoutMs;
       if (idleMs !== undefined) this.#callerListener.setIdleTimeout(idleMs);
       await clock.sleep(PERIODIC_TASKS_INTERVAL_MS, signal);
     }
   }
 
+  #checkAges(): void {
+    const { metrics } = this.#opts;
+    for (
+      const follower of [
+        this.#operatorsFollower,
+        this.#registryFollower,
+        this.#rangesFollower,
+      ]
+    ) {
+      const { table, ageMs, synced } = follower;
+      if (synced) metrics.tableAge.set({ table }, ageMs / 1000);
+      if (follower.checkAge()) metrics.overdueTables.inc({ table });
+    }
+  }
+
   readonly #onTaskError = (place: string): void =>
     this.#opts.metrics.unexpectedErrors.inc({ place });
 
@@ -380,7 +397,7 @@
     batchMs: () => number,
     onReconnected?: () => void,
   ): TableFollower {
-    const { store, clock, logger } = this.#opts;
+    const { cfg, store, clock, logger } = this.#opts;
     return new TableFollower({
       ...source,
       store,
@@ -388,6 +405,7 @@
       logger,
       waitMs: () => this.#relay.isRelay ? RELAY_FEED_WAIT_MS : FEED_WAIT_MS,
       batchMs,
+      boundMs: cfg.changeBoundMs,
       ...(onReconnected === undefined ? {} : { onReconnected }),
     });
   }
--- a/src/direct/direct_metrics.ts
+++ b/src/direct/direct_metrics.ts
@@ -65,6 +65,21 @@
       "Parts of the newest configuration that cannot be used; 1 if it has no usable part.",
     registers: [this.registry],
   });
+  /** Time since each followed table was last known to be current. */
+  readonly tableAge = new Gauge({
+    name: "fescuerun_table_age_seconds",
+    help: "Time since the known rows of a table were last known to be current.",
+    labelNames: ["table"] as const,
+    registers: [this.registry],
+  });
+  /** How often a table exceeded the time in which changes must be in force. */
+  readonly overdueTables = new Counter({
+    name: "fescuerun_tables_overdue_total",
+    help:
+      "Times at which a table became older than the time in which changes must be in force.",
+    labelNames: ["table"] as const,
+    registers: [this.registry],
+  });
   /** Rows of the store that cannot be used, by table. */
   readonly invalidRows = new Counter({
     name: "fescuerun_invalid_rows_total",
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -40,6 +40,10 @@
    * no owner that can serve it at present.
    */
   onStaleOwnership: () => void;
+  /**
+   * @returns milliseconds since the configuration was last known to be current
+   */
+  configAgeMs: () => number;
 };
 
 /**
@@ -192,6 +196,8 @@
       route,
       service,
       keyed,
+      config: view.config.version,
+      configAgeMs: this.#configAgeMs(),
       deadlineAt: call.receivedAt + limitMs,
       tried: new Set(),
       sends: 0,
@@ -493,6 +499,7 @@
       reqId: call.requestId,
       outcome: code,
       config: view.config?.version,
+      configAgeMs: this.#configAgeMs(),
     }, "request refused");
     return {
       kind: "refused",
@@ -501,6 +508,12 @@
     };
   }
 
+  /** Returns the age of the configuration, undefined before the first one. */
+  #configAgeMs(): number | undefined {
+    const ageMs = this.#opts.configAgeMs();
+    return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
+  }
+
   #recordOutcome(state: CallState, outcome: CallOutcome, ms: number): void {
     const { logger, metrics, view } = this.#opts;
     const { service, route, call, steps, sends } = state;
@@ -521,7 +534,8 @@
       leftMs: Math.round(state.deadlineAt - this.#opts.clock.now()),
       sends,
       steps,
-      config: view.config?.version,
+      config: state.config,
+      configAgeMs: state.configAgeMs,
       ranges: state.keyed ? view.ranges(service)?.version : undefined,
     }, "request ended");
   }
--- a/src/direct/direct_settings.ts
+++ b/src/direct/direct_settings.ts
@@ -19,6 +19,11 @@
    * times the requests, plus `slack`.
    */
   retries: { ratio: number; windowMs: number; slack: number };
+  /**
+   * Time in which changes of the configuration and of upstreams must be in force,
+   * in milliseconds.
+   */
+  changeBoundMs: number;
   /** Longest lease on keys that an upstream accepts, in milliseconds. */
   maxHoldMs: number;
   /** Memory for the bodies of all requests, in bytes. */
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
 import type { RangeTable } from "../ranges/range_table.ts";
+import type { RowOrigin } from "../rows/row_origin.ts";
 import { IdleLimit } from "../upstreams/idle_limit.ts";
 import { areConnectionsScarce } from "./are_connections_scarce.ts";
 import { RouteMatcher } from "./route_matcher.ts";
@@ -251,8 +252,9 @@
 
   /**
    * @param config - a configuration; ignored unless newer than the present one
+   * @param origin - how it was read; for the log
    */
-  setConfig(config: RoutingConfig): void {
+  setConfig(config: RoutingConfig, origin?: RowOrigin): void {
     const before = this.#config?.version;
     if (before !== undefined && config.version <= before) return;
     this.#config = config;
@@ -261,10 +263,15 @@
       config.services.map((policy) => [policy.name, policy]),
     );
     this.#minPriorities = minPriorities(config);
-    this.#opts.logger.info(
-      { before, version: config.version, routes: config.routes.length },
-      "configuration applied",
-    );
+    this.#opts.logger.info({
+      before,
+      version: config.version,
+      routes: config.routes.length,
+      source: origin?.source,
+      latenessMs: origin === undefined
+        ? undefined
+        : Math.round(origin.latenessMs),
+    }, "configuration applied");
     this.changed.notify();
   }
 
--- a/src/rows/row_store.ts
+++ b/src/rows/row_store.ts
@@ -30,12 +30,16 @@
    *
    * @param table - name of the table
    * @param signal - stops waiting
-   * @returns all rows, and the version from which the feed continues
+   * @returns all rows, the version from which the feed continues, and the
+   * monotonic milliseconds as of which the rows are complete
    */
   readTable(
     table: string,
     signal: AbortSignal,
-  ): ResultAsync<{ rows: Row[]; version: number }, RowStoreError>;
+  ): ResultAsync<
+    { rows: Row[]; version: number; asOf: number },
+    RowStoreError
+  >;
 
   /**
    * Waits until the table has changed.
@@ -43,10 +47,14 @@
    * @param query - `after` is the version up to which changes are known,
    * `waitMs` the longest wait at the store, in milliseconds
    * @param signal - stops waiting
-   * @returns the changes in order, and the version from which to continue
+   * @returns the changes in order, the version from which to continue, and the
+   * monotonic milliseconds as of which the changes are complete
    */
   waitForChanges(
     query: { table: string; after: number; waitMs: number },
     signal: AbortSignal,
-  ): ResultAsync<{ changes: RowChange[]; version: number }, RowStoreError>;
+  ): ResultAsync<
+    { changes: RowChange[]; version: number; asOf: number },
+    RowStoreError
+  >;
 }
--- a/src/rows/table_changes.ts
+++ b/src/rows/table_changes.ts
@@ -4,6 +4,11 @@
 export const TableChanges = z.object({
   /** With these changes, the receiver knows all changes up to this version. */
   version: z.number().int(),
+  /**
+   * Milliseconds since the store confirmed that they are complete. Relays of
+   * earlier releases do not report it; they answer up to this age.
+   */
+  ageMs: z.number().nonnegative().default(1600),
   /** The last change of each row, in ascending order of versions. */
   changes: z.array(z.object({
     key: z.string(),
--- a/src/rows/table_follower.ts
+++ b/src/rows/table_follower.ts
@@ -5,6 +5,7 @@
 import { ChangeHistory } from "./change_history.ts";
 import type { Row } from "./row.ts";
 import type { RowChange } from "./row_change.ts";
+import type { RowOrigin } from "./row_origin.ts";
 import type { RowStore } from "./row_store.ts";
 import type { RowStoreError } from "./row_store_error.ts";
 import type { TableChanges } from "./table_changes.ts";
@@ -22,10 +23,12 @@
    * made during the pause.
    */
   batchMs: () => number;
+  /** Time after which changes must be in force, in milliseconds. */
+  boundMs: number;
   /** Called with all rows after the whole table has been read. */
-  onSnapshot: (rows: readonly Row[]) => void;
+  onSnapshot: (rows: readonly Row[], origin: RowOrigin) => void;
   /** Called with new changes, in ascending order of versions. */
-  onChanges: (changes: readonly RowChange[]) => void;
+  onChanges: (changes: readonly RowChange[], origin: RowOrigin) => void;
   /**
    * Called when the store answers again after an outage, before the rows of
    * that response are applied.
@@ -79,6 +82,11 @@
   /** Monotonic milliseconds at which the version last increased. */
   #versionChangedAt = Number.NEGATIVE_INFINITY;
   #lastResponseAt = Number.NEGATIVE_INFINITY;
+  /** Monotonic milliseconds as of which the known rows are complete. */
+  #confirmedAt = Number.NEGATIVE_INFINITY;
+  /** Wall-clock milliseconds that correspond to `#confirmedAt`. */
+  #confirmedWallMs = Number.NEGATIVE_INFINITY;
+  #overdueSince: number | undefined;
   #reachable = true;
   #reconnectedAt = Number.NEGATIVE_INFINITY;
   /** Monotonic milliseconds until which a relay is expected to send changes. */
@@ -120,6 +128,53 @@
     return this.#reachable;
   }
 
+  /**
+   * @returns milliseconds since the known rows were last known to be current,
+   * Infinity before the first read. Monotonic time stands still while the process
+   * is suspended, so the clock that has advanced more is used.
+   */
+  get ageMs(): number {
+    const { clock } = this.#opts;
+    return Math.max(
+      clock.now() - this.#confirmedAt,
+      clock.wallTime().getTime() - this.#confirmedWallMs,
+    );
+  }
+
+  /**
+   * Logs when the rows may have been older than the bound, and when they are
+   * known to be current again.
+   *
+   * @returns whether they have exceeded the bound since the last call
+   */
+  checkAge(): boolean {
+    const { clock, logger, table, boundMs } = this.#opts;
+    const { ageMs } = this;
+    if (
+      !this.synced || ageMs > boundMs === (this.#overdueSince !== undefined)
+    ) {
+      return false;
+    }
+    if (this.#overdueSince === undefined) {
+      this.#overdueSince = clock.now() - ageMs;
+      logger.warn({
+        table,
+        version: this.#version,
+        ageMs: Math.round(ageMs),
+        reachable: this.#reachable,
+        relayed: this.#relayDeadline > clock.now(),
+      }, "table may be out of date");
+      return true;
+    }
+    logger.info({
+      table,
+      version: this.#version,
+      latenessMs: Math.round(clock.now() - this.#overdueSince),
+    }, "table is current again");
+    this.#overdueSince = undefined;
+    return false;
+  }
+
   /**
    * Follows the table until the signal aborts.
    *
@@ -170,6 +225,7 @@
     const regainedMs = now - this.#reconnectedAt;
     return {
       version: this.#version,
+      ageMs: this.ageMs,
       changes: changes.map((change) =>
         change.kind === "removed"
           ? { key: change.key, version: change.version }
@@ -188,9 +244,10 @@
    * the relay is behind this VM.
    *
    * @param relayed - changes after the version that this VM sent in its query
+   * @param sentAt - monotonic milliseconds at which the query was sent
    * @param until - monotonic milliseconds until which no feed call is made
    */
-  onRelayedChanges(relayed: TableChanges, until: number): void {
+  onRelayedChanges(relayed: TableChanges, sentAt: number, until: number): void {
     const { table, clock, logger } = this.#opts;
     // The whole table is being read.
     if (this.#version === undefined) return;
@@ -209,7 +266,8 @@
       this.#reconnectedAt = reconnectedAt;
       this.#opts.onReconnected?.();
     }
-    this.#apply(
+    this.#applyFrom(
+      "relay",
       relayed.changes.map(({ key, version, value }) =>
         value === undefined ? { kind: "removed", key, version } : {
           kind: "written",
@@ -217,6 +275,7 @@
         }
       ),
       relayed.version,
+      sentAt - relayed.ageMs,
     );
   }
 
@@ -243,7 +302,11 @@
     this.#versionChangedAt = this.#opts.clock.now();
     this.#history.reset(read.value.version);
     this.#onReadSucceeded();
-    this.#deliver(() => onSnapshot(read.value.rows));
+    const latenessMs = this.ageMs;
+    this.#confirm(read.value.asOf);
+    this.#deliver(() =>
+      onSnapshot(read.value.rows, { source: "whole_read", latenessMs })
+    );
     return undefined;
   }
 
@@ -256,12 +319,20 @@
     const read = await store.waitForChanges({ table, after, waitMs }, signal);
     if (read.isErr()) return this.#onReadFailed(read.error, signal);
     this.#onReadSucceeded();
-    this.#apply(read.value.changes, read.value.version);
+    const { changes, version, asOf } = read.value;
+    this.#applyFrom("feed", changes, version, asOf);
     return undefined;
   }
 
   /** Applies new changes; the relay and the feed may send the same ones. */
-  #apply(changes: readonly RowChange[], version: number): void {
+  #applyFrom(
+    source: RowOrigin["source"],
+    changes: readonly RowChange[],
+    version: number,
+    asOf: number,
+  ): void {
+    const latenessMs = this.ageMs;
+    this.#confirm(asOf);
     const known = this.#version ?? Number.NEGATIVE_INFINITY;
     const fresh = changes.filter((change) => versionOfChange(change) > known);
     if (version > known) {
@@ -270,7 +341,14 @@
     }
     if (fresh.length === 0) return;
     this.#history.add(fresh);
-    this.#deliver(() => this.#opts.onChanges(fresh));
+    this.#deliver(() => this.#opts.onChanges(fresh, { source, latenessMs }));
+  }
+
+  #confirm(asOf: number): void {
+    const { clock } = this.#opts;
+    if (asOf <= this.#confirmedAt) return;
+    this.#confirmedAt = asOf;
+    this.#confirmedWallMs = clock.wallTime().getTime() - (clock.now() - asOf);
   }
 
   /** A receiver that fails must not end the feed for all later changes. */
--- a/src/rows/table_relay.ts
+++ b/src/rows/table_relay.ts
@@ -117,6 +117,7 @@
 
   async #queryRelay(peerUrl: string): Promise<void> {
     const { peers, clock, logger, signal, followers } = this.#opts;
+    const sentAt = clock.now();
     const answer = await peers.call({
       peerUrl,
       method: ChangesQuery.method,
@@ -137,7 +138,7 @@
     for (const follower of followers) {
       const found = changes[follower.table];
       if (found === undefined) follower.onRelayLost();
-      else follower.onRelayedChanges(found, until);
+      else follower.onRelayedChanges(found, sentAt, until);
     }
   }
 
--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -95,6 +95,7 @@
     location: { vm: "vm-1", failureDomain: "a1", region: "a" },
     countKey: () => undefined,
     onStaleOwnership,
+    configAgeMs: () => 0,
   });
 }
 
--- a/tests/platform/table_client_test.ts
+++ b/tests/platform/table_client_test.ts
@@ -21,7 +21,10 @@
   let client: TableClient;
   before(async () => {
     await http.listen();
-    client = new TableClient(`127.0.0.1:${http.port}`);
+    client = new TableClient({
+      address: `127.0.0.1:${http.port}`,
+      clock: systemClock,
+    });
   });
   after(async () => {
     await client.close();
--- a/tests/rows/table_follower_test.ts
+++ b/tests/rows/table_follower_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { RowOrigin } from "../../src/rows/row_origin.ts";
 import { TableFollower } from "../../src/rows/table_follower.ts";
 import { ManualClock } from "../support/manual_clock.ts";
 import { MemoryRowStore } from "../../dev/standins/memory_row_store.ts";
@@ -9,7 +10,11 @@
   const clock = new ManualClock();
   const store = new MemoryRowStore(clock);
   const rows = new Map<string, string>();
-  const seen = { snapshots: 0, reconnected: 0 };
+  const seen = {
+    snapshots: 0,
+    reconnected: 0,
+    origins: [] as RowOrigin[],
+  };
   const end = new AbortController();
   const text = (value: Uint8Array) => Buffer.from(value).toString();
   const follower = new TableFollower({
@@ -19,12 +24,15 @@
     logger: silentLogger(),
     waitMs: () => 3000,
     batchMs: () => 10,
-    onSnapshot: (all) => {
+    boundMs: 2500,
+    onSnapshot: (all, origin) => {
       seen.snapshots++;
+      seen.origins.push(origin);
       rows.clear();
       for (const row of all) rows.set(row.key, text(row.value));
     },
-    onChanges: (changes) => {
+    onChanges: (changes, origin) => {
+      seen.origins.push(origin);
       for (const change of changes) {
         if (change.kind === "written") {
           rows.set(change.row.key, text(change.row.value));
@@ -38,7 +46,7 @@
   const advance = async (ms: number) => {
     for (let passed = 0; passed < ms; passed += 50) await clock.advance(50);
   };
-  return { store, rows, seen, follower, end, advance };
+  return { clock, store, rows, seen, follower, end, advance };
 }
 
 describe("TableFollower", () => {
@@ -60,6 +68,68 @@
     end.abort();
   });
 
+  // Guards against logs that cannot tell where a late version came from.
+  it("reports how changes were read and how late they may be", async () => {
+    const { clock, store, seen, follower, end, advance } = createRig();
+    store.put("t", "a", "1");
+    void follower.run(end.signal);
+    await advance(1000);
+    store.put("t", "a", "2");
+    await advance(100);
+    const version = follower.version ?? 0;
+    follower.onRelayedChanges(
+      {
+        version: version + 1,
+        ageMs: 300,
+        changes: [{ key: "b", version: version + 1, value: "" }],
+      },
+      clock.now(),
+      Infinity,
+    );
+    assert.deepEqual(
+      seen.origins.map(({ source }) => source),
+      ["whole_read", "feed", "relay"],
+    );
+    assert.equal(seen.origins[0]?.latenessMs, Infinity);
+    assert.ok(Math.abs((seen.origins[1]?.latenessMs ?? 0) - 1000) <= 50);
+    assert.ok((seen.origins[2]?.latenessMs ?? Infinity) <= 100);
+    end.abort();
+  });
+
+  it("reports once that the table may be out of date, and for how long", async () => {
+    const { store, follower, end, advance } = createRig();
+    void follower.run(end.signal);
+    await advance(100);
+    assert.equal(follower.checkAge(), false);
+    store.fault = "silent";
+    // The feed call in flight still ends.
+    await advance(3100 + 2600);
+    assert.ok(follower.ageMs > 2500);
+    assert.deepEqual([follower.checkAge(), follower.checkAge()], [true, false]);
+    store.fault = "none";
+    await advance(4000);
+    assert.ok(follower.ageMs < 2500);
+    follower.checkAge();
+    store.fault = "silent";
+    await advance(3100 + 2600);
+    assert.equal(follower.checkAge(), true);
+    end.abort();
+  });
+
+  // Guards against a VM that was suspended and takes old rows for current ones,
+  // since its monotonic clock stood still.
+  it("counts the time for which the process was suspended", async () => {
+    const { clock, follower, end, advance } = createRig();
+    void follower.run(end.signal);
+    await advance(100);
+    const { ageMs } = follower;
+    clock.wallClockOffsetMs = 3500;
+    assert.equal(follower.ageMs, ageMs + 3500);
+    clock.wallClockOffsetMs = -3500;
+    assert.equal(follower.ageMs, ageMs);
+    end.abort();
+  });
+
   // Guards against one row of another writer that ends the feed for all others.
   it("follows further changes after its receiver has failed", async () => {
     const { store, rows, follower, end, advance } = createRig();
@@ -137,7 +207,8 @@
       const version = follower.version;
       assert.ok(version !== undefined);
       follower.onRelayedChanges(
-        { version: version - 1, changes: [] },
+        { version: version - 1, ageMs: 0, changes: [] },
+        0,
         Infinity,
       );
       // The feed call in flight returns this change.
--- a/tests/support/manual_clock.ts
+++ b/tests/support/manual_clock.ts
@@ -6,13 +6,17 @@
 export class ManualClock implements Clock {
   #now = 0;
   #sleepers: Sleeper[] = [];
+  /** Wall clock minus the time that has passed, in milliseconds. */
+  wallClockOffsetMs = 0;
 
   now(): number {
     return this.#now;
   }
 
   wallTime(): Date {
-    return new Date(Date.UTC(2026, 0, 1) + this.#now);
+    return new Date(
+      Date.UTC(2026, 0, 1) + this.#now + this.wallClockOffsetMs,
+    );
   }
 
   sleep(ms: number, signal?: AbortSignal): Promise<void> {
--- a/tests/support/platform_router.ts
+++ b/tests/support/platform_router.ts
@@ -32,7 +32,10 @@
     this.memory = memory;
     this.#http = http;
     this.#ports = ports;
-    this.#store = new TableClient(`127.0.0.1:${http.port}`);
+    this.#store = new TableClient({
+      address: `127.0.0.1:${http.port}`,
+      clock: systemClock,
+    });
     const [callers = 0, readiness = 0, peers = 0] = ports;
     const logger = silentLogger();
     const daemon = new DirectDaemon({
@@ -49,6 +52,7 @@
         },
         stopMs,
         retries: { ratio: 0.2, windowMs: 10_000, slack: 60 },
+        changeBoundMs: 2500,
         maxHoldMs: 10_000,
         bodyMemoryBytes: 1024 * 1024,
         cores: undefined,
@@ -67,8 +71,9 @@
         return {
           operators: {
             table: "op",
-            onSnapshot: (rows) => operators.onSnapshot(rows),
-            onChanges: (changes) => operators.onChanges(changes),
+            onSnapshot: (rows, origin) => operators.onSnapshot(rows, origin),
+            onChanges: (changes, origin) =>
+              operators.onChanges(changes, origin),
           },
           registry: {
             table: "servers",
--- a/tests/support/relay_rig.ts
+++ b/tests/support/relay_rig.ts
@@ -41,6 +41,7 @@
       logger: silentLogger(),
       waitMs: () => relay.isRelay ? 1000 : 3000,
       batchMs: () => 100,
+      boundMs: 2500,
       onSnapshot: (rows) => {
         seen.rows = new Map(
           rows.map((row) => [row.key, decodeText(row.value)]),
--- a/tests/vms/silent_peer_test.ts
+++ b/tests/vms/silent_peer_test.ts
@@ -44,7 +44,10 @@
     { timeout: TEST_TIMEOUT_MS },
     async () => {
       const silent = await SilentListener.start();
-      const store = new TableClient(`127.0.0.1:${silent.port}`);
+      const store = new TableClient({
+        address: `127.0.0.1:${silent.port}`,
+        clock: systemClock,
+      });
       const read = await store.readTable("t", new AbortController().signal);
       silent.close();
       await store.close();
