test(rows): changes that are known later than their bound

A simulated VM follows a table while its connections to the store, its relay or the store go silent, at 40 moments of its feed calls and queries 0.1 s apart. Checked is the stated target: a change is known 2.5 s after it was confirmed, or 3 s after the end of a disturbance of the VM itself.

--- a/tests/support/relay_rig.ts
+++ b/tests/support/relay_rig.ts
@@ -1,5 +1,7 @@
+import type { RowStore } from "../../src/rows/row_store.ts";
 import { TableFollower } from "../../src/rows/table_follower.ts";
 import { TableRelay } from "../../src/rows/table_relay.ts";
+import { ConnectionFaults } from "./connection_faults.ts";
 import { ManualClock } from "./manual_clock.ts";
 import { MemoryPeers } from "./memory_peers.ts";
 import { MemoryRowStore } from "../../dev/standins/memory_row_store.ts";
@@ -11,6 +13,8 @@
   /** Rows that the VM knows, and how often it noticed the end of an outage. */
   seen: { rows: Map<string, string>; reconnected: number };
   relay: TableRelay;
+  process: PausableClock;
+  connections: ConnectionFaults;
   store: { seen: { refused: boolean } };
 };
 
@@ -26,16 +30,19 @@
   readonly vms: RelayVm[] = [];
 
   /** Number of feed calls by all VMs. */
-  feedCalls = 0;
+  get feedCalls(): number {
+    return this.vms.reduce((sum, vm) => sum + vm.connections.feedCalls, 0);
+  }
 
   addVm(vm: string): void {
     const { clock, end } = this;
     const process = new PausableClock(clock, 0);
     const seen = { rows: new Map<string, string>(), reconnected: 0 };
     const store = this.#createVmStore();
+    const connections = new ConnectionFaults(store, process);
     const selfUrl = `http://${vm}`;
     const follower: TableFollower = new TableFollower({
-      store,
+      store: connections,
       table: TABLE,
       clock: process,
       logger: silentLogger(),
@@ -68,7 +75,7 @@
     this.peers.listen(selfUrl, { vm, process, handlers: [relay.handler] });
     void follower.run(end.signal);
     void relay.run();
-    this.vms.push({ vm, seen, relay, store });
+    this.vms.push({ vm, seen, relay, process, connections, store });
   }
 
   /** Makes one VM the relay of all VMs. */
@@ -91,7 +98,7 @@
   }
 
   /** Returns one VM's view of the store, which may refuse only this VM. */
-  #createVmStore() {
+  #createVmStore(): RowStore & { seen: { refused: boolean } } {
     const { store, clock } = this;
     const seen = { refused: false };
     const refusing = new MemoryRowStore(clock);
@@ -105,10 +112,7 @@
         current().readTable(...args),
       waitForChanges: (
         ...args: Parameters<MemoryRowStore["waitForChanges"]>
-      ) => {
-        this.feedCalls++;
-        return current().waitForChanges(...args);
-      },
+      ) => current().waitForChanges(...args),
     };
   }
 }
