fix(rows): bound the age of what a VM knows where it is used

Seen by callers: requests handled by a configuration that had been replaced longer ago than 2.5 s.

Cause: no VM knew how old its rows were. Each step had its own timeout (a relay answers for 1.6 s, it is queried each 0.5 s, a query waits 0.7 s, a feed call on a dead connection 4 s, the delay after it 1.2 s), and nothing bounded their sum. Class: a deadline kept by a chain of independent timeouts, without an end-to-end bound.

Ruled out: a version that goes back (versions only grow in a process, and a request takes its route after it was read); rows that are skipped (versions of feed and relay are compared in change_history_test); the relay's handling alone (a VM without a relay was late as well).

Change: relays report the age of their rows; a VM calls the store itself once its rows are older than 0.6 of the bound, whatever its relay does. A feed call waits no longer than until then, and fails 0.2 of the bound later. A relay that was suspended answers nothing until the store has confirmed its rows.

--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -11,6 +11,7 @@
 import type { RangeGrants } from "../ranges/range_grants.ts";
 import { readRangeTable } from "../ranges/read_range_table.ts";
 import type { RowStore } from "../rows/row_store.ts";
+import { followTimesFor } from "../rows/follow_times_for.ts";
 import { TableFollower } from "../rows/table_follower.ts";
 import { TableRelay } from "../rows/table_relay.ts";
 import { HttpPeerClient } from "../vms/http_peer_client.ts";
@@ -48,16 +49,14 @@
 const LEADER_TABLE = "fescuerun-keeper";
 const METRICS_PATH = "/metrics";
 /**
- * Longest time for which the store holds a feed call open when nothing changes.
- * A call without response for 1 s longer fails, so a dead connection is noticed
- * within 4 s. While a relay sends changes, a VM makes no feed calls.
+ * Upstreams reject requests for keys that they do not own, so old rows of key
+ * owners cause retries, but no wrong result.
  */
-const FEED_WAIT_MS = 3000;
-/**
- * Shorter on a relay, on which the other VMs of its region depend. It notices a
- * dead connection within 2 s, since changes must be in force within 2.5 s.
- */
-const RELAY_FEED_WAIT_MS = 1000;
+const OWNERS_FEED_WAIT_MS = 3000;
+/** Shorter on a relay, on which the other VMs of its region depend. */
+const OWNERS_RELAY_FEED_WAIT_MS = 1000;
+const OWNERS_RELAY_MAX_AGE_MS = 1600;
+const OWNERS_MAX_AGE_MS = 3000;
 /**
  * Pause between feed calls, in which changes are batched because calls to the
  * store are billed. A tenth of the 2.5 s in which changes must be in force.
@@ -149,16 +148,29 @@
         MAX_FEED_BATCH_MS,
         Math.max(FEED_BATCH_MS, FEED_BATCH_PER_VM_MS * view.vms),
       );
-    this.#operatorsFollower = this.#follow(sources.operators, batchMs);
-    this.#registryFollower = this.#follow(
-      sources.registry,
+    const times = followTimesFor(cfg.changeBoundMs);
+    const bounded = {
+      boundMs: cfg.changeBoundMs,
+      times: () => times,
       batchMs,
-      () => view.onRegistryReconnected(),
-    );
-    this.#rangesFollower = this.#follow(
-      this.#rangeSource(),
-      () => OWNERS_FEED_BATCH_MS,
-    );
+    };
+    this.#operatorsFollower = this.#follow(sources.operators, bounded);
+    this.#registryFollower = this.#follow(sources.registry, {
+      ...bounded,
+      onReconnected: () => view.onRegistryReconnected(),
+    });
+    this.#rangesFollower = this.#follow(this.#rangeSource(), {
+      boundMs: Infinity,
+      times: () => ({
+        feedWaitMs: this.#relay.isRelay
+          ? OWNERS_RELAY_FEED_WAIT_MS
+          : OWNERS_FEED_WAIT_MS,
+        responseTimeoutMs: times.responseTimeoutMs,
+        relayMaxAgeMs: OWNERS_RELAY_MAX_AGE_MS,
+        maxAgeMs: OWNERS_MAX_AGE_MS,
+      }),
+      batchMs: () => OWNERS_FEED_BATCH_MS,
+    });
     const peerClient = new HttpPeerClient({
       credential: opts.peerCredential,
       clock,
@@ -171,6 +183,7 @@
         this.#registryFollower,
         this.#rangesFollower,
       ],
+      boundMs: cfg.changeBoundMs,
       selfUrl: peerUrl,
       peers: peerClient,
       clock,
@@ -394,19 +407,12 @@
 
   #follow(
     source: RowSource,
-    batchMs: () => number,
-    onReconnected?: () => void,
+    timing: Pick<
+      ConstructorParameters<typeof TableFollower>[0],
+      "boundMs" | "times" | "batchMs" | "onReconnected"
+    >,
   ): TableFollower {
-    const { cfg, store, clock, logger } = this.#opts;
-    return new TableFollower({
-      ...source,
-      store,
-      clock,
-      logger,
-      waitMs: () => this.#relay.isRelay ? RELAY_FEED_WAIT_MS : FEED_WAIT_MS,
-      batchMs,
-      boundMs: cfg.changeBoundMs,
-      ...(onReconnected === undefined ? {} : { onReconnected }),
-    });
+    const { store, clock, logger } = this.#opts;
+    return new TableFollower({ ...source, ...timing, store, clock, logger });
   }
 }
--- a/src/rows/table_follower.ts
+++ b/src/rows/table_follower.ts
@@ -2,7 +2,9 @@
 import { ChangeNotifier } from "../base/change_notifier.ts";
 import type { Logger } from "../base/logger.ts";
 import { waitForChange } from "../vms/wait_for_change.ts";
+import { withTimeout } from "../vms/with_timeout.ts";
 import { ChangeHistory } from "./change_history.ts";
+import type { FollowTimes } from "./follow_times.ts";
 import type { Row } from "./row.ts";
 import type { RowChange } from "./row_change.ts";
 import type { RowOrigin } from "./row_origin.ts";
@@ -16,8 +18,7 @@
   table: string;
   clock: Clock;
   logger: Logger;
-  /** Longest wait of the next feed call at the store, in milliseconds. */
-  waitMs: () => number;
+  times: () => FollowTimes;
   /**
    * Pause in milliseconds between feed calls; the next call returns all changes
    * made during the pause.
@@ -43,13 +44,8 @@
  * same time do not retry at the same time.
  */
 const MIN_JITTER_FACTOR = 0.5;
-/** Well below the 2.5 s within which changes must be in force. */
+/** A VM must be current 3 s after the end of an outage. */
 const MAX_RETRY_DELAY_MS = 800;
-/**
- * A feed whose last response is older may be disconnected. Feed calls of a
- * relay wait for up to 1 s.
- */
-const MAX_FEED_RESPONSE_AGE_MS = 1600;
 /**
  * Several responses of a relay report the same outage: ends that differ by at
  * most this time belong to one outage.
@@ -70,8 +66,9 @@
 
 /**
  * Follows one table: reads the whole table, then receives its changes from the
- * store's feed, or from a relay while one sends them. Reads the whole table
- * again if the store no longer keeps the changes since the known version.
+ * store's feed, or from a relay while that knows them well enough. Reads the
+ * whole table again if the store no longer keeps the changes since the known
+ * version.
  */
 export class TableFollower {
   readonly #opts: Options;
@@ -81,7 +78,6 @@
   #version: number | undefined;
   /** Monotonic milliseconds at which the version last increased. */
   #versionChangedAt = Number.NEGATIVE_INFINITY;
-  #lastResponseAt = Number.NEGATIVE_INFINITY;
   /** Monotonic milliseconds as of which the known rows are complete. */
   #confirmedAt = Number.NEGATIVE_INFINITY;
   /** Wall-clock milliseconds that correspond to `#confirmedAt`. */
@@ -89,8 +85,8 @@
   #overdueSince: number | undefined;
   #reachable = true;
   #reconnectedAt = Number.NEGATIVE_INFINITY;
-  /** Monotonic milliseconds until which a relay is expected to send changes. */
-  #relayDeadline = Number.NEGATIVE_INFINITY;
+  /** Whether a relay has answered the last query. */
+  #relayed = false;
 
   /**
    * @param opts - the store, the table, and callbacks that receive its rows
@@ -118,7 +114,7 @@
    * @returns whether the table has been read at least once
    */
   get synced(): boolean {
-    return this.#lastResponseAt !== Number.NEGATIVE_INFINITY;
+    return this.#confirmedAt !== Number.NEGATIVE_INFINITY;
   }
 
   /**
@@ -162,7 +158,7 @@
         version: this.#version,
         ageMs: Math.round(ageMs),
         reachable: this.#reachable,
-        relayed: this.#relayDeadline > clock.now(),
+        relayed: this.#relayed,
       }, "table may be out of date");
       return true;
     }
@@ -215,17 +211,17 @@
    * its history does not reach back far enough
    */
   changesSince(known: number): TableChanges | undefined {
-    const now = this.#opts.clock.now();
+    const { ageMs } = this;
     const changes = this.#history.since(known);
     const isUpToDate = this.#reachable &&
-      now - this.#lastResponseAt <= MAX_FEED_RESPONSE_AGE_MS;
+      ageMs <= this.#opts.times().relayMaxAgeMs;
     if (!isUpToDate || changes === undefined || this.#version === undefined) {
       return undefined;
     }
-    const regainedMs = now - this.#reconnectedAt;
+    const regainedMs = this.#opts.clock.now() - this.#reconnectedAt;
     return {
       version: this.#version,
-      ageMs: this.ageMs,
+      ageMs,
       changes: changes.map((change) =>
         change.kind === "removed"
           ? { key: change.key, version: change.version }
@@ -240,14 +236,13 @@
   }
 
   /**
-   * Applies changes from a relay. The feed is not called before `until`, unless
-   * the relay is behind this VM.
+   * Applies changes from a relay. The store is not called until they are older
+   * than `maxAgeMs`, unless the relay is behind this VM.
    *
    * @param relayed - changes after the version that this VM sent in its query
    * @param sentAt - monotonic milliseconds at which the query was sent
-   * @param until - monotonic milliseconds until which no feed call is made
    */
-  onRelayedChanges(relayed: TableChanges, sentAt: number, until: number): void {
+  onRelayedChanges(relayed: TableChanges, sentAt: number): void {
     const { table, clock, logger } = this.#opts;
     // The whole table is being read.
     if (this.#version === undefined) return;
@@ -260,7 +255,7 @@
       this.onRelayLost();
       return;
     }
-    this.#relayDeadline = until;
+    this.#relayed = true;
     const reconnectedAt = clock.now() - (relayed.regainedMs ?? Infinity);
     if (reconnectedAt > this.#reconnectedAt + SAME_OUTAGE_WINDOW_MS) {
       this.#reconnectedAt = reconnectedAt;
@@ -281,15 +276,15 @@
 
   /** Returns to the store's feed, as no relay sends changes. */
   onRelayLost(): void {
-    this.#relayDeadline = Number.NEGATIVE_INFINITY;
+    this.#relayed = false;
     this.#relayLost.notify();
   }
 
   async #waitWhileRelayed(signal: AbortSignal): Promise<void> {
-    const { clock } = this.#opts;
-    for (;;) {
-      const ms = this.#relayDeadline - clock.now();
-      if (ms <= 0 || signal.aborted || this.#version === undefined) return;
+    const { clock, times } = this.#opts;
+    while (this.#relayed && this.#version !== undefined && !signal.aborted) {
+      const ms = times().maxAgeMs - this.ageMs;
+      if (ms <= 0) return;
       await waitForChange({ clock, ms, notifiers: [this.#relayLost] }, signal);
     }
   }
@@ -314,9 +309,15 @@
     after: number,
     signal: AbortSignal,
   ): Promise<RowStoreError | undefined> {
-    const { store, table } = this.#opts;
-    const waitMs = this.#opts.waitMs();
-    const read = await store.waitForChanges({ table, after, waitMs }, signal);
+    const { clock, store, table, times } = this.#opts;
+    const { feedWaitMs, responseTimeoutMs, maxAgeMs } = times();
+    // The older the known rows are, the sooner a dead connection is noticed.
+    const waitMs = Math.max(0, Math.min(feedWaitMs, maxAgeMs - this.ageMs));
+    const read = await withTimeout(
+      { clock, ms: waitMs + responseTimeoutMs },
+      signal,
+      (combined) => store.waitForChanges({ table, after, waitMs }, combined),
+    );
     if (read.isErr()) return this.#onReadFailed(read.error, signal);
     this.#onReadSucceeded();
     const { changes, version, asOf } = read.value;
@@ -363,7 +364,6 @@
 
   #onReadSucceeded(): void {
     const { clock, logger, table } = this.#opts;
-    this.#lastResponseAt = clock.now();
     if (this.#reachable) return;
     this.#reachable = true;
     this.#reconnectedAt = clock.now();
--- a/src/rows/table_relay.ts
+++ b/src/rows/table_relay.ts
@@ -10,6 +10,8 @@
 
 type Options = {
   followers: readonly TableFollower[];
+  /** Time in which changes must be in force, in milliseconds. */
+  boundMs: number;
   /** Peer URL of this VM. */
   selfUrl: string;
   peers: PeerClient;
@@ -24,13 +26,11 @@
  * 1,000 ranges take 30 KB.
  */
 const MAX_RELAYED_BYTES = 32_768;
-/** Well below the 2.5 s within which changes must be in force. */
-const QUERY_INTERVAL_MS = 500;
+const MAX_QUERY_INTERVAL_MS = 500;
+const QUERY_INTERVAL_FRACTION = 0.2;
 const QUERY_TIMEOUT_MS = 700;
 /** Limits early queries by VMs that need changes at once. */
 const MAX_QUERIES_PER_INTERVAL = 5;
-/** Without a response of the relay for this long, a VM calls the store. */
-const RELAY_TIMEOUT_MS = 2 * QUERY_INTERVAL_MS + QUERY_TIMEOUT_MS;
 
 /**
  * Receives changes of the store from the relay of the region, which is one of
@@ -99,18 +99,22 @@
 
   /** Queries the relay for changes until the signal aborts. */
   async run(): Promise<void> {
-    const { clock, signal } = this.#opts;
+    const { boundMs, clock, signal } = this.#opts;
+    const intervalMs = Math.min(
+      MAX_QUERY_INTERVAL_MS,
+      boundMs * QUERY_INTERVAL_FRACTION,
+    );
     while (!signal.aborted) {
       const url = this.#relayUrl;
       if (url === undefined || this.isRelay) this.#onRelayLost();
       else await this.#queryRelay(url);
       const queriedAt = clock.now();
       await waitForChange(
-        { clock, ms: QUERY_INTERVAL_MS, notifiers: [this.#queryNeeded] },
+        { clock, ms: intervalMs, notifiers: [this.#queryNeeded] },
         signal,
       );
       const minWaitMs = queriedAt +
-        QUERY_INTERVAL_MS / MAX_QUERIES_PER_INTERVAL - clock.now();
+        intervalMs / MAX_QUERIES_PER_INTERVAL - clock.now();
       if (minWaitMs > 0) await clock.sleep(minWaitMs, signal);
     }
   }
@@ -134,11 +138,10 @@
       return;
     }
     const { changes } = answer.value;
-    const until = clock.now() + RELAY_TIMEOUT_MS;
     for (const follower of followers) {
       const found = changes[follower.table];
       if (found === undefined) follower.onRelayLost();
-      else follower.onRelayedChanges(found, sentAt, until);
+      else follower.onRelayedChanges(found, sentAt);
     }
   }
 
--- a/tests/rows/table_follower_test.ts
+++ b/tests/rows/table_follower_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { followTimesFor } from "../../src/rows/follow_times_for.ts";
 import type { RowOrigin } from "../../src/rows/row_origin.ts";
 import { TableFollower } from "../../src/rows/table_follower.ts";
 import { ManualClock } from "../support/manual_clock.ts";
@@ -22,7 +23,7 @@
     table: "t",
     clock,
     logger: silentLogger(),
-    waitMs: () => 3000,
+    times: () => followTimesFor(2500),
     batchMs: () => 10,
     boundMs: 2500,
     onSnapshot: (all, origin) => {
@@ -74,6 +75,7 @@
     store.put("t", "a", "1");
     void follower.run(end.signal);
     await advance(1000);
+    const { ageMs } = follower;
     store.put("t", "a", "2");
     await advance(100);
     const version = follower.version ?? 0;
@@ -84,14 +86,14 @@
         changes: [{ key: "b", version: version + 1, value: "" }],
       },
       clock.now(),
-      Infinity,
     );
     assert.deepEqual(
       seen.origins.map(({ source }) => source),
       ["whole_read", "feed", "relay"],
     );
     assert.equal(seen.origins[0]?.latenessMs, Infinity);
-    assert.ok(Math.abs((seen.origins[1]?.latenessMs ?? 0) - 1000) <= 50);
+    const lateness = seen.origins[1]?.latenessMs ?? 0;
+    assert.ok(ageMs > 0 && lateness >= ageMs && lateness <= ageMs + 100);
     assert.ok((seen.origins[2]?.latenessMs ?? Infinity) <= 100);
     end.abort();
   });
@@ -130,6 +132,21 @@
     end.abort();
   });
 
+  // Guards against a relay that was suspended and answers for what it knew before.
+  it("relays nothing after a suspension until the store has answered", async () => {
+    const { clock, store, follower, end, advance } = createRig();
+    store.put("t", "a", "1");
+    void follower.run(end.signal);
+    await advance(300);
+    const version = follower.version ?? 0;
+    assert.ok(follower.changesSince(version) !== undefined);
+    clock.wallClockOffsetMs = 3500;
+    assert.equal(follower.changesSince(version), undefined);
+    await advance(1000);
+    assert.ok(follower.changesSince(version) !== undefined);
+    end.abort();
+  });
+
   // Guards against one row of another writer that ends the feed for all others.
   it("follows further changes after its receiver has failed", async () => {
     const { store, rows, follower, end, advance } = createRig();
@@ -209,7 +226,6 @@
       follower.onRelayedChanges(
         { version: version - 1, ageMs: 0, changes: [] },
         0,
-        Infinity,
       );
       // The feed call in flight returns this change.
       store.put("t", "a", "3");
--- a/tests/support/relay_rig.ts
+++ b/tests/support/relay_rig.ts
@@ -1,3 +1,4 @@
+import { followTimesFor } from "../../src/rows/follow_times_for.ts";
 import type { RowStore } from "../../src/rows/row_store.ts";
 import { TableFollower } from "../../src/rows/table_follower.ts";
 import { TableRelay } from "../../src/rows/table_relay.ts";
@@ -20,6 +21,7 @@
 
 const TABLE = "t";
 const CLOCK_STEP_MS = 20;
+const CHANGE_BOUND_MS = 2500;
 
 /** Test rig with VMs of one region that follow a table of the store. */
 export class RelayRig {
@@ -46,9 +48,9 @@
       table: TABLE,
       clock: process,
       logger: silentLogger(),
-      waitMs: () => relay.isRelay ? 1000 : 3000,
+      times: () => followTimesFor(CHANGE_BOUND_MS),
       batchMs: () => 100,
-      boundMs: 2500,
+      boundMs: CHANGE_BOUND_MS,
       onSnapshot: (rows) => {
         seen.rows = new Map(
           rows.map((row) => [row.key, decodeText(row.value)]),
@@ -66,6 +68,7 @@
     });
     const relay: TableRelay = new TableRelay({
       followers: [follower],
+      boundMs: CHANGE_BOUND_MS,
       selfUrl,
       peers: this.peers.client(vm, process),
       clock: process,
