--- a/tests/support/fleet_rig.ts
+++ b/tests/support/fleet_rig.ts
@@ -14,6 +14,7 @@
 /** Builds a VM's view of the deployment for a test. */
 export class FleetRig<C extends Clock = ManualClock> {
   readonly view: FleetView;
+  #rangesVersion = 0;
 
   constructor(readonly clock: C, vms = 4) {
     this.view = new FleetView({
@@ -94,7 +95,7 @@
   owners(...ranges: (Partial<KeyRange> & { id: string })[]) {
     this.view.setRanges(
       "s1",
-      new RangeTable(1, {
+      new RangeTable(++this.#rangesVersion, {
         schema: 1,
         nextFence: 100,
         ranges: ranges.map(({ id, ...range }, index) => ({
