test(rows): remove the listeners of calls that have ended

Cause: each simulated call left a listener on the signal of its connections; test runs printed 512 warnings of Node.js (MaxListenersExceededWarning), 4 after. No check changed; rows/ passes as before.

--- a/tests/support/connection_faults.ts
+++ b/tests/support/connection_faults.ts
@@ -1,4 +1,5 @@
 import { ResultAsync } from "neverthrow";
+import { ChangeNotifier } from "../../src/base/change_notifier.ts";
 import type { Clock } from "../../src/base/clock.ts";
 import type { RowStore } from "../../src/rows/row_store.ts";
 import type { RowStoreError } from "../../src/rows/row_store_error.ts";
@@ -10,7 +11,7 @@
 export class ConnectionFaults implements RowStore {
   readonly #store: RowStore;
   readonly #clock: Clock;
-  #established = new AbortController();
+  readonly #killed = new ChangeNotifier();
   /** Whether new connections get no answers either. */
   silent = false;
   /** Idle connections that the next calls use and that are silent. */
@@ -25,8 +26,7 @@
 
   /** No call in flight gets an answer any more. */
   killConnections(): void {
-    this.#established.abort();
-    this.#established = new AbortController();
+    this.#killed.notify();
   }
 
   transact(
@@ -69,7 +69,8 @@
     signal: AbortSignal,
     run: () => ResultAsync<T, RowStoreError>,
   ): Promise<Awaited<ResultAsync<T, RowStoreError>>> {
-    const connection = this.#established.signal;
+    const ended = new AbortController();
+    const died = this.#killed.next(ended.signal).then(() => "died" as const);
     const isDead = this.silent || this.deadIdle > 0;
     if (this.deadIdle > 0) this.deadIdle--;
     const failed = ResultAsync.fromPromise(
@@ -78,13 +79,12 @@
       ),
       (): RowStoreError => ({ kind: "unknown", message: "no answer" }),
     );
-    if (isDead) return failed;
-    const died = new Promise<"died">((resolve) =>
-      connection.addEventListener("abort", () => resolve("died"), {
-        once: true,
-      })
-    );
+    if (isDead) {
+      ended.abort();
+      return failed;
+    }
     const first = await Promise.race([run(), failed, died]);
+    ended.abort();
     return first === "died" ? failed : first;
   }
 }
