--- a/tests/support/relay_rig.ts
+++ b/tests/support/relay_rig.ts
@@ -21,10 +21,12 @@
 
 const TABLE = "t";
 const CLOCK_STEP_MS = 20;
-const CHANGE_BOUND_MS = 2500;
+const DEFAULT_BOUND_MS = 2500;
+const DEFAULT_BATCH_MS = 100;
 
 /** Test rig with VMs of one region that follow a table of the store. */
 export class RelayRig {
+  readonly #opts: { boundMs: number; batchMs: number };
   readonly clock = new ManualClock();
   readonly store = new MemoryRowStore(this.clock);
   readonly peers = new MemoryPeers(this.clock);
@@ -36,8 +38,16 @@
     return this.vms.reduce((sum, vm) => sum + vm.connections.feedCalls, 0);
   }
 
+  /** @param opts - bound on changes, and pause between feed calls */
+  constructor(
+    opts = { boundMs: DEFAULT_BOUND_MS, batchMs: DEFAULT_BATCH_MS },
+  ) {
+    this.#opts = opts;
+  }
+
   addVm(vm: string): void {
     const { clock, end } = this;
+    const { boundMs, batchMs } = this.#opts;
     const process = new PausableClock(clock, 0);
     const seen = { rows: new Map<string, string>(), reconnected: 0 };
     const store = this.#createVmStore();
@@ -48,9 +58,9 @@
       table: TABLE,
       clock: process,
       logger: silentLogger(),
-      times: () => followTimesFor(CHANGE_BOUND_MS),
-      batchMs: () => 100,
-      boundMs: CHANGE_BOUND_MS,
+      times: () => followTimesFor(boundMs),
+      batchMs: () => batchMs,
+      boundMs,
       onSnapshot: (rows) => {
         seen.rows = new Map(
           rows.map((row) => [row.key, decodeText(row.value)]),
@@ -68,7 +78,7 @@
     });
     const relay: TableRelay = new TableRelay({
       followers: [follower],
-      boundMs: CHANGE_BOUND_MS,
+      boundMs,
       selfUrl,
       peers: this.peers.client(vm, process),
       clock: process,
@@ -81,9 +91,10 @@
     this.vms.push({ vm, seen, relay, process, connections, store });
   }
 
-  /** Makes one VM the relay of all VMs. */
-  setRelay(vm: string): void {
-    for (const { relay } of this.vms) relay.setRelay(`http://${vm}`);
+  /** Makes one VM, or none, the relay of all VMs. */
+  setRelay(vm: string | undefined): void {
+    const url = vm === undefined ? undefined : `http://${vm}`;
+    for (const { relay } of this.vms) relay.setRelay(url);
   }
 
   put(key: string, value: string): void {
