fix(ranges): keep the end of a lease when another order is not sent

Cause: before a grant was sent, the latest end of its lease was recorded for its owner; if it was not sent, the value from before was restored. Another range of the same owner, renewed in between, had the same latest end, so its lease was forgotten, and keys that moved from the owner were granted 4.33 s after an earlier renewal. Class: undo of a shared value that others have changed since.

Change: LeaseEnds keeps the orders in flight apart from the leases of those that have ended, and an order that was not sent leaves nothing.

Result: range_orders_test, 3 of 9 cases failed before: keys were granted 3,660, 3,660 and 3,510 ms after the last grant to their previous owner, whose lease is up to 4,080 ms.

--- a/src/ranges/range_orders.ts
+++ b/src/ranges/range_orders.ts
@@ -4,6 +4,7 @@
 import type { FleetView } from "../direct/fleet_view.ts";
 import type { Upstream } from "../direct/upstream.ts";
 import { withTimeout } from "../vms/with_timeout.ts";
+import { LeaseEnds } from "./lease_ends.ts";
 import type { LeaderLease } from "./leader_lease.ts";
 import type { KeyRange } from "./key_range.ts";
 import type { RangeDocument } from "./range_document.ts";
@@ -50,11 +51,8 @@
 export class RangeOrders {
   readonly #opts: Options;
   readonly #renewals = new Map<string, Renewal>();
-  /**
-   * Monotonic milliseconds until which a grant to an upstream may be in force,
-   * by incarnation.
-   */
-  readonly #heldUntil = new Map<string, number>();
+  /** Ends of the leases of this VM's grants, by incarnation. */
+  readonly #leaseEnds = new LeaseEnds();
   readonly #activeMoves = new Set<number>();
   readonly #completedMoves = new Set<number>();
   readonly #addresses = new Map<string, string>();
@@ -115,10 +113,7 @@
       ranges.flatMap(({ owner, previous }) => [owner, ...previous])
         .map(incarnationKey),
     );
-    const now = clock.now();
-    for (const [key, until] of this.#heldUntil) {
-      if (until < now && !incarnations.has(key)) this.#heldUntil.delete(key);
-    }
+    this.#leaseEnds.prune(clock.now(), (key) => incarnations.has(key));
     const ids = new Set([...incarnations].map(idOfIncarnationKey));
     for (const id of this.#addresses.keys()) {
       if (view.upstream(id) === undefined && !ids.has(id)) {
@@ -200,10 +195,11 @@
     const { id, address } = upstream.entry;
     const ownerKey = incarnationKey(range.owner);
     const startedAt = clock.now();
-    const before = this.#heldUntil.get(ownerKey) ?? 0;
     // A grant in flight may arrive at any time until the order times out.
-    const latest = startedAt + ORDER_TIMEOUT_MS + this.#maxLeaseMs();
-    this.#heldUntil.set(ownerKey, Math.max(before, latest));
+    const onEnded = this.#leaseEnds.begin(
+      ownerKey,
+      startedAt + ORDER_TIMEOUT_MS + this.#maxLeaseMs(),
+    );
     const result = await withTimeout(
       { clock, ms: ORDER_TIMEOUT_MS },
       signal,
@@ -226,12 +222,9 @@
           timeoutSignal,
         ),
     );
-    const until = clock.now() + this.#maxLeaseMs();
-    if (result !== "not_sent") {
-      this.#heldUntil.set(ownerKey, Math.max(before, until));
-    } else if (this.#heldUntil.get(ownerKey) === latest) {
-      this.#heldUntil.set(ownerKey, before);
-    }
+    onEnded(
+      result === "not_sent" ? undefined : clock.now() + this.#maxLeaseMs(),
+    );
     metrics.orders.inc({ order: "grant", result });
     if (result !== "granted" || handover !== undefined) {
       logger.info({
@@ -362,7 +355,7 @@
 
   /** Monotonic milliseconds until which an upstream may hold keys. */
   #leaseEndOf(upstream: { id: string; incarnation: number }): number {
-    const ownOrdersEndAt = this.#heldUntil.get(incarnationKey(upstream)) ?? 0;
+    const ownOrdersEndAt = this.#leaseEnds.endOf(incarnationKey(upstream));
     // The predecessor's orders are unknown: assumes the latest possible grant.
     const predecessorOrdersEndAt = this.#opts.lease.predecessorOrdersEndAt +
       this.#maxLeaseMs();
