--- a/tests/platform/table_client_test.ts
+++ b/tests/platform/table_client_test.ts
@@ -63,6 +63,26 @@
     assert.ok(read.version > version);
   });
 
+  // Guards against rows that count as older than they are once the store has been
+  // running for longer than a duration may be.
+  it("dates rows by the store's clock after more than a day", async () => {
+    let storeNow = 5 * 24 * 3600 * 1000;
+    const days = new MemoryRowStore({ ...systemClock, now: () => storeNow });
+    const server = await new RowStoreServer(days).listen();
+    // Times at which the calls are sent and their responses are read.
+    const times = [1000, 1001, 1100, 1900];
+    const late = new TableClient({
+      address: `127.0.0.1:${server.port}`,
+      clock: { ...systemClock, now: () => times.shift() ?? Number.NaN },
+    });
+    const first = (await late.readTable("t", signal))._unsafeUnwrap();
+    storeNow += 700;
+    const second = (await late.readTable("t", signal))._unsafeUnwrap();
+    await late.close();
+    server.close();
+    assert.deepEqual([first.asOf, second.asOf], [1000, 1700]);
+  });
+
   it("reports history_lost when the store no longer keeps the changes", async () => {
     memory.forgotten = 1e9;
     const read = await client.waitForChanges(
