feat(ranges): log what an expired lease of keys rests on

The hypotheses on two owners could not be told apart: the line of an expired lease named neither the leader's own last order nor the end of the orders of earlier leaders, nothing said why an earlier leader was no longer waited for, and an order did not say how long ago its leader had renewed the lease.

No decision changes.

--- a/src/ranges/leader_lease.ts
+++ b/src/ranges/leader_lease.ts
@@ -151,6 +151,13 @@
     );
   }
 
+  /**
+   * @returns milliseconds since the start of the last renewal of the lease
+   */
+  get renewalAgeMs(): number {
+    return Math.round(this.#opts.clock.now() - this.#confirmedAt);
+  }
+
   /**
    * @returns the leader's peer URL; undefined if there is no leader or it is
    * this VM
@@ -183,8 +190,9 @@
    * @param incarnation - the VM's current incarnation; earlier ones have ended
    */
   onPeerSeen(vm: string, incarnation: string): void {
-    this.#earlierLeaders = this.#earlierLeaders.filter((leader) =>
-      leader.vm !== vm || leader.incarnation === incarnation
+    this.#onStopped(
+      (leader) => leader.vm === vm && leader.incarnation !== incarnation,
+      "its process has been replaced",
     );
   }
 
@@ -205,8 +213,9 @@
    * @param incarnation - the process that led
    */
   onEarlierLeaderStopped(incarnation: string): void {
-    this.#earlierLeaders = this.#earlierLeaders.filter((leader) =>
-      leader.incarnation !== incarnation
+    this.#onStopped(
+      (leader) => leader.incarnation === incarnation,
+      "it has stepped down",
     );
   }
 
@@ -360,7 +369,14 @@
     // The predecessor may have renewed the lease until this write.
     this.#recordEarlierLeaders(observed, ended);
     logger.info(
-      { version: this.#observed?.version, predecessor: row?.vm },
+      {
+        version: this.#observed?.version,
+        predecessor: row?.vm,
+        earlierLeaders: this.#earlierLeaders.map(({ vm, ordersEndAt }) => ({
+          vm,
+          ordersMs: Math.round(ordersEndAt - now),
+        })),
+      },
       "leader lease acquired",
     );
     this.changed.notify();
@@ -446,10 +462,24 @@
     return { kind: "applied" };
   }
 
+  #onStopped(isStopped: (leader: Identity) => boolean, reason: string): void {
+    const { clock, logger } = this.#opts;
+    for (const { vm, ordersEndAt } of this.#earlierLeaders.filter(isStopped)) {
+      const ordersMs = Math.round(ordersEndAt - clock.now());
+      logger.info({ vm, ordersMs, reason }, "earlier leader sends no orders");
+    }
+    this.#earlierLeaders = this.#earlierLeaders.filter((leader) =>
+      !isStopped(leader)
+    );
+  }
+
   #lose(reason: string): void {
     this.#held = false;
     this.#leaderUnreachable = true;
-    this.#opts.logger.warn({ reason }, "leader lease lost");
+    this.#opts.logger.warn(
+      { reason, renewalAgeMs: this.renewalAgeMs },
+      "leader lease lost",
+    );
     this.changed.notify();
   }
 }
--- a/src/ranges/lease_ends.ts
+++ b/src/ranges/lease_ends.ts
@@ -1,6 +1,7 @@
 /** Tracks until when owners may hold keys; times in monotonic milliseconds. */
 export class LeaseEnds {
   readonly #ends = new Map<string, number>();
+  readonly #lastOrdersAt = new Map<string, number>();
   /** Latest possible ends of the leases of orders in flight. */
   readonly #pending = new Map<string, Set<{ readonly until: number }>>();
 
@@ -8,17 +9,20 @@
    * Records an order that may be carried out at any time until it has ended.
    *
    * @param owner - who receives the order
+   * @param now - when the order is sent
    * @param until - latest possible end of its lease
    * @returns called when the order has ended, with the end of its lease, or with
    * undefined if it was not sent
    */
   begin(
     owner: string,
+    now: number,
     until: number,
   ): (leaseEnd: number | undefined) => void {
     const order = { until };
     const pending = this.#pending.get(owner) ?? new Set();
     this.#pending.set(owner, pending.add(order));
+    this.#lastOrdersAt.set(owner, now);
     return (leaseEnd) => {
       pending.delete(order);
       if (leaseEnd === undefined) return;
@@ -38,6 +42,16 @@
     );
   }
 
+  /**
+   * @param owner - who received orders
+   * @param now - monotonic milliseconds
+   * @returns milliseconds since the last order; undefined if there was none
+   */
+  lastOrderAgeMs(owner: string, now: number): number | undefined {
+    const at = this.#lastOrdersAt.get(owner);
+    return at === undefined ? undefined : Math.round(now - at);
+  }
+
   /**
    * Removes leases that have ended, also those of orders whose end was not
    * reported.
@@ -49,6 +63,9 @@
     for (const [owner, until] of this.#ends) {
       if (until < now && !isInUse(owner)) this.#ends.delete(owner);
     }
+    for (const owner of this.#lastOrdersAt.keys()) {
+      if (!isInUse(owner)) this.#lastOrdersAt.delete(owner);
+    }
     for (const [owner, orders] of this.#pending) {
       for (const order of orders) if (order.until < now) orders.delete(order);
       if (orders.size === 0) this.#pending.delete(owner);
--- a/src/ranges/range_orders.ts
+++ b/src/ranges/range_orders.ts
@@ -198,6 +198,7 @@
     // A grant in flight may arrive at any time until the order times out.
     const onEnded = this.#leaseEnds.begin(
       ownerKey,
+      startedAt,
       startedAt + ORDER_TIMEOUT_MS + this.#maxLeaseMs(),
     );
     const result = await withTimeout(
@@ -236,6 +237,7 @@
         handover: handover !== undefined,
         result,
         ms: Math.round(clock.now() - startedAt),
+        renewalAgeMs: lease.renewalAgeMs,
       }, "keys granted");
     }
     return result;
@@ -315,10 +317,23 @@
       // If this VM's leader lease is not confirmed, another leader may have
       // renewed the upstream's lease.
       if (lease.confirmed && now >= this.#leaseEndOf(previous)) {
-        logger.info(
-          { service, upstream: previous.id, first, last, fence },
-          "lease of the previous owner has expired",
-        );
+        metrics.orders.inc({ order: "release", result: "expired" });
+        logger.info({
+          service,
+          upstream: previous.id,
+          first,
+          last,
+          fence,
+          renewalAgeMs: lease.renewalAgeMs,
+          lastOrderAgeMs: this.#leaseEnds.lastOrderAgeMs(
+            incarnationKey(previous),
+            now,
+          ),
+          ownLeaseEndAgeMs: Math.round(
+            now - this.#leaseEnds.endOf(incarnationKey(previous)),
+          ),
+          earlierOrdersAgeMs: Math.round(now - lease.predecessorOrdersEndAt),
+        }, "lease of the previous owner has expired");
         return { handover: undefined };
       }
       const address = this.#addresses.get(previous.id);
