--- a/tests/ranges/leader_lease_test.ts
+++ b/tests/ranges/leader_lease_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { ResultAsync } from "neverthrow";
 import { LeaderLease } from "../../src/ranges/leader_lease.ts";
 import { ManualClock } from "../support/manual_clock.ts";
 import { MemoryRowStore } from "../../dev/standins/memory_row_store.ts";
@@ -260,6 +261,64 @@
     assert.ok(two.lease.held);
   });
 
+  // Guards against a leader that counts itself as confirmed while its successor
+  // assigns keys, since the store's answer to its acquisition is late.
+  it("is not confirmed for longer than its TTL after the call that acquired it", async () => {
+    const { clock, store, start, advance } = createRig();
+    const transact = store.transact.bind(store);
+    store.transact = (transaction, signal) => {
+      const applied = transact(transaction, signal);
+      return new ResultAsync(clock.sleep(1200).then(() => applied));
+    };
+    const one = start("vm-1");
+    await advance(1250);
+    assert.ok(one.lease.held);
+    assert.ok(one.lease.confirmed);
+    await advance(400);
+    assert.ok(!one.lease.confirmed);
+    one.stop();
+  });
+
+  // Guards against a leader that stops and leads again, without its grants
+  // since the last renewal of the row that it could not release.
+  it("is not acquired again by a VM that has released it", async () => {
+    const { store, start, advance } = createRig();
+    const one = start("vm-1");
+    await advance(200);
+    store.fault = "down";
+    await one.lease.release();
+    store.fault = "none";
+    await advance(3000);
+    assert.ok(!one.lease.held);
+    one.stop();
+  });
+
+  // Guards against leases that are counted as expired too early: an earlier
+  // leader's time to send orders ends just before the lease is acquired.
+  it("waits for earlier leaders whose orders end before it is acquired", async () => {
+    const { store, start, advance } = createRig();
+    const identity = { vm: "vm-0", incarnation: "vm-0-1", peerUrl: "http://v" };
+    const ordersMs = 300;
+    store.put(
+      "keeper",
+      "keeper",
+      JSON.stringify({
+        ...identity,
+        schema: 1,
+        vm: "vm-1",
+        released: true,
+        earlierOrdersMs: ordersMs,
+        earlierLeaders: [{ ...identity, ordersMs }],
+        unnamedOrdersMs: 0,
+      }),
+    );
+    const small = start("vm-2", "vm-2-1", 0.27);
+    await advance(1500);
+    assert.ok(small.lease.held);
+    assert.ok(small.lease.predecessorOrdersEndAt >= ordersMs);
+    small.stop();
+  });
+
   // Guards against a leader that sends orders after a suspension, although
   // another VM has acquired the lease: monotonic time excludes a suspension.
   it("allows no orders after a suspension until it is renewed", async () => {
--- a/tests/ranges/service_ranges_test.ts
+++ b/tests/ranges/service_ranges_test.ts
@@ -35,6 +35,19 @@
   };
 }
 
+type Candidate = ReturnType<RangeRig["addCandidate"]>;
+
+/** Makes a VM the leader while the present one cannot renew the lease. */
+async function takeOver(rig: RangeRig, { lease, ranges, end }: Candidate) {
+  void lease.run();
+  for (let attempt = 0; attempt < 10; attempt++) {
+    if (!lease.held) lease.onLeaderUnreachable();
+    await rig.advance(400);
+  }
+  assert.ok(lease.held);
+  void ranges.run(end.signal);
+}
+
 describe("ServiceRanges", () => {
   // Guards against treating an unreadable row as absent, so that fencing tokens
   // are used again.
@@ -161,13 +174,7 @@
       const first = await startLeader(rig);
       const restoreStore = cutOffFromStore(rig, "vm-1");
       const second = rig.addCandidate("vm-2", IDS);
-      void second.lease.run();
-      for (let attempt = 0; attempt < 10; attempt++) {
-        if (!second.lease.held) second.lease.onLeaderUnreachable();
-        await rig.advance(400);
-      }
-      assert.ok(second.lease.held);
-      void second.ranges.run(second.end.signal);
+      await takeOver(rig, second);
       await rig.advance(leaveMs);
       for (const id of ids) rig.register(second.view, id, "draining");
       await rig.advance(600);
@@ -202,6 +209,67 @@
     leader.end.abort();
   });
 
+  // Guards against keys with two owners: a leader without the store renews the
+  // lease of an upstream that its successor cannot reach. When the earlier
+  // leader stops, the successor must wait for the leases granted until then.
+  const stops = [
+    {
+      name: "steps down",
+      stop: ({ lease }: Candidate, successor: Candidate) => {
+        assert.ok(lease.stepDown());
+        successor.lease.onEarlierLeaderStopped("vm-1-1");
+      },
+    },
+    {
+      name: "is seen to be replaced",
+      stop: ({ end }: Candidate, successor: Candidate) => {
+        end.abort();
+        successor.lease.onPeerSeen("vm-1", "vm-1-2");
+      },
+    },
+  ];
+  for (const { name, stop } of stops) {
+    for (const afterMs of [1000, 3000, 6000]) {
+      it(`waits for leases of an earlier leader that ${name} after ${afterMs} ms`, async () => {
+        const rig = new RangeRig();
+        const first = await startLeader(rig);
+        const restoreStore = cutOffFromStore(rig, "vm-1");
+        const second = rig.addCandidate("vm-2", IDS);
+        rig.upstreams.cutOff.set("vm-2", new Set(["u-2"]));
+        await takeOver(rig, second);
+        second.view.removeUpstreams(["u-2"]);
+        await rig.advance(afterMs);
+        assert.ok(first.lease.maySendOrders);
+        stop(first, second);
+        first.end.abort();
+        await rig.advance(6000);
+        assert.deepEqual(rig.upstreams.overlaps, []);
+        assert.equal(rig.fractionHeldOnce(), 1);
+        restoreStore();
+        second.end.abort();
+      });
+    }
+  }
+
+  // Guards against a leader that completes a move after its time to send orders
+  // has ended, while its successor assigns the same keys.
+  it("grants no moved keys once it may send no orders", async () => {
+    const rig = new RangeRig();
+    const leader = await startLeader(rig);
+    rig.upstreams.busy.add("u-2");
+    rig.register(leader.view, "u-2", "draining");
+    await rig.advance(600);
+    rig.store.fault = "down";
+    await rig.advance(13_000);
+    assert.ok(!leader.lease.maySendOrders);
+    const stoppedAt = rig.clock.now();
+    rig.upstreams.busy.delete("u-2");
+    await rig.advance(5000);
+    const lastGrantAt = rig.upstreams.lastGrantAt.get("vm-1") ?? 0;
+    assert.ok(lastGrantAt < stoppedAt, `${lastGrantAt - stoppedAt} ms after`);
+    leader.end.abort();
+  });
+
   // Guards against keys with two owners, granted by a leader that cannot reach
   // the store and by its successor.
   it("lets a second leader take over while the first still renews grants", async () => {
@@ -210,13 +278,7 @@
     // Only the first leader cannot reach the store.
     const second = rig.addCandidate("vm-2", IDS);
     const restoreStore = cutOffFromStore(rig, "vm-1");
-    void second.lease.run();
-    for (let attempt = 0; attempt < 10; attempt++) {
-      if (!second.lease.held) second.lease.onLeaderUnreachable();
-      await rig.advance(400);
-    }
-    assert.ok(second.lease.held);
-    void second.ranges.run(second.end.signal);
+    await takeOver(rig, second);
     rig.register(second.view, "u-1", "draining");
     for (let s = 0; s < 6; s++) {
       await rig.advance(1000);
--- a/tests/support/lease_upstreams.ts
+++ b/tests/support/lease_upstreams.ts
@@ -22,6 +22,12 @@
   readonly #connected = new Map<string, Set<string>>();
   /** IDs of the upstreams that no router can reach. */
   readonly down = new Set<string>();
+  /** IDs of the upstreams that one VM cannot reach, by the VM. */
+  readonly cutOff = new Map<string, ReadonlySet<string>>();
+  /** IDs of the upstreams that carry out no release, as work is running. */
+  readonly busy = new Set<string>();
+  /** Times at which a grant of each VM last reached an upstream. */
+  readonly lastGrantAt = new Map<string, number>();
   /** IDs of the upstreams that say in their answers that they leave. */
   readonly leaving = new Set<string>();
   /** Descriptions of key ranges that two upstreams held at the same time. */
@@ -37,7 +43,7 @@
   connectionsOf(vm: string): RangeGrants {
     return {
       grant: (order) => this.#grant(vm, order),
-      release: (order) => this.#release(order),
+      release: (order, signal) => this.#release(vm, order, signal),
     };
   }
 
@@ -45,12 +51,13 @@
     vm: string,
     order: Parameters<RangeGrants["grant"]>[0],
   ): ReturnType<RangeGrants["grant"]> {
-    if (this.down.has(order.id)) return Promise.resolve("not_sent");
+    if (!this.#canReach(vm, order.id)) return Promise.resolve("not_sent");
     const connected = this.#connected.get(order.id) ?? new Set();
     if (order.sameProcess && !connected.has(vm)) {
       return Promise.resolve("not_sent");
     }
     this.grantCount++;
+    this.lastGrantAt.set(vm, this.#clock.now());
     if (this.leaving.has(order.id)) order.onLeaving();
     if (this.#hasSeenHigherToken(order)) return Promise.resolve("stale");
     const now = this.#clock.now();
@@ -75,10 +82,21 @@
   }
 
   #release(
+    vm: string,
     order: Parameters<RangeGrants["release"]>[0],
+    signal: AbortSignal,
   ): ReturnType<RangeGrants["release"]> {
-    if (this.down.has(order.id)) return Promise.resolve({ kind: "not_sent" });
     const { id, first, last, fence } = order;
+    if (!this.#canReach(vm, id)) return Promise.resolve({ kind: "not_sent" });
+    if (this.busy.has(id)) {
+      return new Promise((resolve) =>
+        signal.addEventListener(
+          "abort",
+          () => resolve({ kind: "unanswered" }),
+          { once: true },
+        )
+      );
+    }
     this.#addLease(this.#seenOrders, id, { first, last, fence, expiresAt: 0 });
     const remainingLeases = (this.#leases.get(id) ?? []).flatMap((lease) =>
       [
@@ -107,6 +125,10 @@
     ).map(([id]) => id);
   }
 
+  #canReach(vm: string, id: string): boolean {
+    return !this.down.has(id) && this.cutOff.get(vm)?.has(id) !== true;
+  }
+
   #hasSeenHigherToken(
     order: { id: string } & Omit<KeyRangeLease, "expiresAt">,
   ): boolean {
