fix(ranges): wait for the leases that an earlier leader granted until it stopped

Cause: a leader waits for the leases of earlier leaders from the time at which those send no more orders. When one of them stepped down or was seen to be replaced, it was removed from the list, and the time fell back to that at which the lease row had been read. What it had granted between then and its stop was left out, although a grant lasts 4 s from its arrival.

Change: a leader that has stopped leaves the time at which that became known behind. The time is kept as an upper bound; an ordinary stop is known within 250 ms.

Class: a bound on what others may still do, counted from when this VM stopped remembering. Price: keys of an owner that the successor cannot reach wait for up to 4.3 s after the earlier leader's stop.

--- a/src/ranges/leader_lease.ts
+++ b/src/ranges/leader_lease.ts
@@ -99,8 +99,8 @@
   /** Leaders before this VM that may still send orders. */
   #earlierLeaders: EarlierLeader[] = [];
   /**
-   * Monotonic milliseconds after which leaders that are not known by name send
-   * no orders.
+   * Monotonic milliseconds after which leaders that `#earlierLeaders` does not
+   * contain send no orders. The leases that they granted may last longer.
    */
   #unnamedLeadersEndAt = Number.NEGATIVE_INFINITY;
 
@@ -464,15 +464,21 @@
 
   #onStopped(isStopped: (leader: Identity) => boolean, reason: string): void {
     const { clock, logger } = this.#opts;
+    const now = clock.now();
     for (const { vm, ordersEndAt } of this.#earlierLeaders.filter(isStopped)) {
-      const ordersMs = Math.round(ordersEndAt - clock.now());
+      const ordersMs = Math.round(ordersEndAt - now);
       logger.info({ vm, ordersMs, reason }, "earlier leader sends no orders");
+      this.#onOrdersEnded(Math.min(now, ordersEndAt));
     }
     this.#earlierLeaders = this.#earlierLeaders.filter((leader) =>
       !isStopped(leader)
     );
   }
 
+  #onOrdersEnded(endedAt: number): void {
+    this.#unnamedLeadersEndAt = Math.max(this.#unnamedLeadersEndAt, endedAt);
+  }
+
   #lose(reason: string): void {
     this.#held = false;
     this.#leaderUnreachable = true;
