fix(ranges): keep the end of earlier orders that falls before an acquisition

A row that names an earlier leader which may send orders for some 100 ms more is read, and the lease is acquired after that time (small VMs acquire a released lease 400 ms late). The leader was then dropped, and its orders counted as ended when the row was read: up to 400 ms too early.

Evidence: leader_lease_test > waits for earlier leaders whose orders end before it is acquired failed before.

--- a/src/ranges/leader_lease.ts
+++ b/src/ranges/leader_lease.ts
@@ -400,16 +400,18 @@
     const unnamedMs = isSpoiled
       ? ORDER_GRACE_MS
       : row?.unnamedOrdersMs ?? row?.earlierOrdersMs ?? 0;
-    this.#unnamedLeadersEndAt = Math.max(
-      this.#unnamedLeadersEndAt,
-      firstReadAt + unnamedMs,
-    );
+    this.#raiseUnnamedEnd(firstReadAt + unnamedMs);
     const leaders = new Map<string, EarlierLeader>();
     const add = (leader: Identity, ordersEndAt: number) => {
       const { vm, incarnation, peerUrl } = leader;
-      const before = leaders.get(incarnation)?.ordersEndAt ?? now;
       // Earlier processes of this VM have ended.
-      if (vm === self.vm || ordersEndAt <= before) return;
+      if (vm === self.vm) return;
+      if (ordersEndAt <= now) {
+        this.#raiseUnnamedEnd(ordersEndAt);
+        return;
+      }
+      const known = leaders.get(incarnation)?.ordersEndAt ?? now;
+      if (ordersEndAt <= known) return;
       leaders.set(incarnation, { vm, incarnation, peerUrl, ordersEndAt });
     };
     for (const leader of this.#earlierLeaders) add(leader, leader.ordersEndAt);
@@ -468,15 +470,15 @@
     for (const { vm, ordersEndAt } of this.#earlierLeaders.filter(isStopped)) {
       const ordersMs = Math.round(ordersEndAt - now);
       logger.info({ vm, ordersMs, reason }, "earlier leader sends no orders");
-      this.#onOrdersEnded(Math.min(now, ordersEndAt));
+      this.#raiseUnnamedEnd(Math.min(now, ordersEndAt));
     }
     this.#earlierLeaders = this.#earlierLeaders.filter((leader) =>
       !isStopped(leader)
     );
   }
 
-  #onOrdersEnded(endedAt: number): void {
-    this.#unnamedLeadersEndAt = Math.max(this.#unnamedLeadersEndAt, endedAt);
+  #raiseUnnamedEnd(endsAt: number): void {
+    this.#unnamedLeadersEndAt = Math.max(this.#unnamedLeadersEndAt, endsAt);
   }
 
   #lose(reason: string): void {
