fix(ranges): count a new leader's lease from the call that acquired it

Cause: a leader is confirmed for 1.5 s after its last renewal, counted from the start of the call, but after the acquisition it counted from the answer. The store may have written the row up to the timeout of the call earlier, and a successor waits 1.5 s from its first read of that row. While the answer is on its way the successor may acquire the lease, and for the rest both count as confirmed: both treat leases of owners as expired and renew at restarted upstreams.

Evidence: leader_lease_test > is not confirmed for longer than its TTL after the call that acquired it: still confirmed 1,650 ms after the call before.

--- a/src/ranges/leader_lease.ts
+++ b/src/ranges/leader_lease.ts
@@ -359,13 +359,15 @@
       (ended ? 0 : LEASE_TTL_MS) + this.#standbyDelayMs();
     if (!expired) return false;
     this.#recordEarlierLeaders(observed, ended);
+    const startedAt = clock.now();
+    const clockOffsetMs = this.#clockOffsetMs();
     const outcome = await this.#write(observed.version);
     if (outcome.kind !== "applied") return false;
-    const now = clock.now();
     this.#held = true;
     this.#leaderUnreachable = false;
-    this.#confirmedAt = now;
-    this.#offsetAtRenewalMs = this.#clockOffsetMs();
+    // A successor counts from the write, which the answer may follow late.
+    this.#confirmedAt = startedAt;
+    this.#offsetAtRenewalMs = clockOffsetMs;
     // The predecessor may have renewed the lease until this write.
     this.#recordEarlierLeaders(observed, ended);
     logger.info(
@@ -374,7 +376,7 @@
         predecessor: row?.vm,
         earlierLeaders: this.#earlierLeaders.map(({ vm, ordersEndAt }) => ({
           vm,
-          ordersMs: Math.round(ordersEndAt - now),
+          ordersMs: Math.round(ordersEndAt - clock.now()),
         })),
       },
       "leader lease acquired",
