fix(ranges): do not lead again while stopping

If the release was not written (store unreachable), the row is that of its last renewal, and what it granted since then is forgotten: leases count as expired too early (OWNER).

Evidence: leader_lease_test > is not acquired again by a VM that has released it failed before. So did, without the last lines of run(), the new test on an acquisition that is answered during the stop.

Change: release() is final, also for an acquisition in flight. Price: if no other VM runs, keys expire while the last one stops.

--- a/src/ranges/leader_lease.ts
+++ b/src/ranges/leader_lease.ts
@@ -94,6 +94,8 @@
   #observed: ObservedRow | undefined;
   #leaderUnreachable = true;
   #held = false;
+  /** Whether this VM has released the lease, as it is stopping. */
+  #released = false;
   #confirmedAt = Number.NEGATIVE_INFINITY;
   #offsetAtRenewalMs = 0;
   /** Leaders before this VM that may still send orders. */
@@ -239,7 +241,10 @@
         await this.#renew();
         await clock.sleep(RENEW_INTERVAL_MS, signal);
       } else if (this.#leaderUnreachable) {
-        if (await this.#tryAcquire()) continue;
+        if (await this.#tryAcquire()) {
+          if (this.#released) await this.release();
+          continue;
+        }
         await clock.sleep(
           POLL_INTERVAL_MS + Math.random() * POLL_JITTER_MS,
           signal,
@@ -254,8 +259,12 @@
     }
   }
 
-  /** Releases the lease, so that another VM need not wait until it expires. */
+  /**
+   * Releases the lease, so that another VM need not wait until it expires. This
+   * VM does not acquire it again.
+   */
   async release(): Promise<void> {
+    this.#released = true;
     if (!this.#held) return;
     const { store, table, logger } = this.#opts;
     const version = this.#observed?.version ?? 0;
@@ -357,7 +366,7 @@
     const ended = !isHeld || isOwnVm;
     const expired = clock.now() - observed.firstReadAt >=
       (ended ? 0 : LEASE_TTL_MS) + this.#standbyDelayMs();
-    if (!expired) return false;
+    if (!expired || this.#released) return false;
     this.#recordEarlierLeaders(observed, ended);
     const startedAt = clock.now();
     const clockOffsetMs = this.#clockOffsetMs();
--- a/tests/ranges/leader_lease_test.ts
+++ b/tests/ranges/leader_lease_test.ts
@@ -293,6 +293,26 @@
     one.stop();
   });
 
+  // Guards against a lease that nobody renews: the answer to its acquisition
+  // arrives once the VM is stopping.
+  it("is released if its acquisition is answered during a stop", async () => {
+    const { clock, store, start, advance, reportUnreachableFor } = createRig();
+    const transact = store.transact.bind(store);
+    store.transact = (transaction, signal) => {
+      const applied = transact(transaction, signal);
+      return new ResultAsync(clock.sleep(500).then(() => applied));
+    };
+    const one = start("vm-1");
+    await advance(200);
+    await one.lease.release();
+    const two = start("vm-2");
+    await reportUnreachableFor(two.lease, 1600);
+    assert.ok(!one.lease.held);
+    assert.ok(two.lease.held);
+    one.stop();
+    two.stop();
+  });
+
   // Guards against leases that are counted as expired too early: an earlier
   // leader's time to send orders ends just before the lease is acquired.
   it("waits for earlier leaders whose orders end before it is acquired", async () => {
