fix(ranges): end moves when the leader may send no more orders

Cause: whether the leader may still send orders (12 s after its last renewal) was asked when a move started, and not again. A move that waited for a release went on with the grant at any later time. A successor counts on the 12 s: it may have given the same keys to another upstream.

Evidence: service_ranges_test > grants no moved keys once it may send no orders: a grant 160 ms after the end before, none now. Change: each order of a move asks again.

--- a/src/ranges/range_orders.ts
+++ b/src/ranges/range_orders.ts
@@ -274,7 +274,7 @@
       if (released === undefined) return false;
       handover = released.handover ?? handover;
     }
-    while (!signal.aborted && this.#isCurrent(range)) {
+    while (this.#mayOrder(range, signal)) {
       const upstream = view.upstream(range.owner.id);
       if (!isOwner(range, upstream)) return false;
       const result = await this.#grant(range, upstream, handover, signal);
@@ -299,7 +299,7 @@
 
   /**
    * Releases keys from a previous owner, or waits until its lease has expired.
-   * Returns undefined if the signal aborts or the range is no longer current.
+   * Returns undefined if orders for the range may no longer be sent.
    */
   async #release(
     range: KeyRange,
@@ -308,7 +308,7 @@
   ): Promise<{ handover: string | undefined } | undefined> {
     const { clock, grants, view, logger, metrics, service, lease } = this.#opts;
     const { first, last, fence } = range;
-    while (!signal.aborted && this.#isCurrent(range)) {
+    while (this.#mayOrder(range, signal)) {
       const now = clock.now();
       // A new incarnation holds none of the previous one's keys, but may have
       // accepted renewals meant for that one, so it has to release them.
@@ -382,6 +382,12 @@
     return this.#opts.holdMs * MAX_CLOCK_SKEW_RATIO + MAX_ORDER_DELAY_MS;
   }
 
+  /** Returns whether this VM may still send orders for a moving range. */
+  #mayOrder(range: KeyRange, signal: AbortSignal): boolean {
+    return !signal.aborted && this.#opts.lease.maySendOrders &&
+      this.#isCurrent(range);
+  }
+
   #isCurrent(range: KeyRange): boolean {
     const table = this.#opts.knownTable();
     return table === undefined ||
