fix(ranges): send the token of moved keys to owners that return

Cause: keys of an owner that cannot be reached move once its lease has expired. That counts on every order having arrived or died by then. An order of a killed or frozen leader is still delivered by its kernel after a partition, and the earlier owner, which never received the higher token, accepts it and holds the keys for 4 s more.

Ruled out as enough: resetting connections of abandoned orders, which a killed or frozen sender cannot do.

Change: the range lists owners whose leases were waited for (unfenced), across splits, moves and merges; while such an owner is registered, the leader sends it the token in a release until it answers.

Class: elapsed time and the higher token are two defences, and only one was used.

--- a/src/ranges/key_range.ts
+++ b/src/ranges/key_range.ts
@@ -12,7 +12,9 @@
 /**
  * A contiguous range of keys with one owner. `previous` lists owners that may
  * still hold the keys; the owner is granted them only after those have released
- * them or their leases have expired.
+ * them or their leases have expired. `unfenced` lists owners whose leases have
+ * expired and that have not received the token of a later owner since: an order
+ * sent before may still reach them.
  */
 export const KeyRange = z.object({
   first: Key,
@@ -23,5 +25,6 @@
   previous: z.array(
     UpstreamIncarnation.extend({ fence: z.number().int().positive() }),
   ),
+  unfenced: z.array(UpstreamIncarnation).optional(),
 });
 export type KeyRange = z.infer<typeof KeyRange>;
--- a/src/ranges/plan_ranges.ts
+++ b/src/ranges/plan_ranges.ts
@@ -1,6 +1,7 @@
 import type { KeyRange } from "./key_range.ts";
 import type { RangeDocument } from "./range_document.ts";
 import { RangeLoads } from "./range_loads.ts";
+import { unfencedOwners } from "./unfenced_owners.ts";
 
 type UpstreamCapacity = {
   id: string;
@@ -206,6 +207,11 @@
           ...before,
           last: range.last,
           fence: this.#nextFence++,
+          unfenced: unfencedOwners(
+            before.owner,
+            before.unfenced,
+            range.unfenced,
+          ),
         });
         this.changed = true;
       } else merged.push(range);
@@ -300,13 +306,15 @@
     );
     const source = this.#ranges[index];
     if (source === undefined) throw new Error("keys span several ranges");
-    const { owner, fence, previous } = source;
+    const { fence, previous } = source;
+    const owner = { id: to.id, incarnation: to.incarnation };
     const moved: KeyRange = {
       first,
       last,
-      owner: { id: to.id, incarnation: to.incarnation },
+      owner,
       fence: this.#nextFence++,
-      previous: [...previous, { ...owner, fence }],
+      previous: [...previous, { ...source.owner, fence }],
+      unfenced: unfencedOwners(owner, source.unfenced),
     };
     const left = { ...source, last: first - 1 };
     const right = { ...source, first: last + 1 };
--- a/src/ranges/range_orders.ts
+++ b/src/ranges/range_orders.ts
@@ -5,11 +5,15 @@
 import type { Upstream } from "../direct/upstream.ts";
 import { withTimeout } from "../vms/with_timeout.ts";
 import { LeaseEnds } from "./lease_ends.ts";
+import { incarnationKey } from "./incarnation_key.ts";
 import type { LeaderLease } from "./leader_lease.ts";
 import type { KeyRange } from "./key_range.ts";
 import type { RangeDocument } from "./range_document.ts";
+import { RangeFences } from "./range_fences.ts";
 import type { RangeGrants } from "./range_grants.ts";
+import { rangeKey } from "./range_key.ts";
 import type { RangeTable } from "./range_table.ts";
+import { unfencedOwners } from "./unfenced_owners.ts";
 
 type Options = {
   service: string;
@@ -54,7 +58,12 @@
   /** Ends of the leases of this VM's grants, by incarnation. */
   readonly #leaseEnds = new LeaseEnds();
   readonly #activeMoves = new Set<number>();
-  readonly #completedMoves = new Set<number>();
+  /**
+   * Fencing tokens of ranges that their new owners have been granted, and the
+   * previous owners whose leases have expired without a release.
+   */
+  readonly #completedMoves = new Map<number, KeyRange["owner"][]>();
+  readonly #fences: RangeFences;
   readonly #addresses = new Map<string, string>();
 
   /**
@@ -62,13 +71,35 @@
    */
   constructor(opts: Options) {
     this.#opts = opts;
+    this.#fences = new RangeFences(opts);
   }
 
   /**
-   * @returns fencing tokens of ranges that their new owners have been granted
+   * Removes the previous owners of completed moves, and those that have
+   * received the tokens of later owners.
+   *
+   * @param document - owners of keys
+   * @returns the same document if nothing changes
    */
-  get completedMoves(): ReadonlySet<number> {
-    return this.#completedMoves;
+  applyProgress(document: RangeDocument): RangeDocument {
+    const ranges = document.ranges.map((range) => {
+      const { owner, previous, unfenced } = range;
+      const expired = this.#completedMoves.get(range.fence);
+      const remaining = unfenced?.filter((one) =>
+        !this.#fences.isFenced(range, one)
+      );
+      if (expired === undefined && remaining?.length === unfenced?.length) {
+        return range;
+      }
+      return {
+        ...range,
+        previous: expired === undefined ? previous : [],
+        unfenced: unfencedOwners(owner, remaining, expired),
+      };
+    });
+    return ranges.some((range, index) => range !== document.ranges[index])
+      ? { ...document, ranges }
+      : document;
   }
 
   /**
@@ -86,7 +117,10 @@
       const ranges = this.#opts.knownTable()?.document.ranges ?? [];
       for (const range of lease.maySendOrders ? ranges : []) {
         if (range.previous.length > 0) this.#moveIfNotStarted(range, signal);
-        else this.#renewIfDue(range, signal);
+        else {
+          this.#renewIfDue(range, signal);
+          this.#fences.sendIfDue(range, signal);
+        }
       }
       await clock.sleep(CHECK_INTERVAL_MS, signal);
     }
@@ -97,15 +131,16 @@
    *
    * @param document - the owners that were just written
    */
-  prune({ ranges }: RangeDocument): void {
+  prune(document: RangeDocument): void {
     const { clock, view } = this.#opts;
-    for (const fence of this.#completedMoves) {
+    const { ranges } = document;
+    for (const fence of this.#completedMoves.keys()) {
       const isPending = ranges.some((range) =>
         range.fence === fence && range.previous.length > 0
       );
       if (!isPending) this.#completedMoves.delete(fence);
     }
-    const keys = new Set(ranges.map(renewalKey));
+    const keys = new Set(ranges.map(rangeKey));
     for (const key of this.#renewals.keys()) {
       if (!keys.has(key)) this.#renewals.delete(key);
     }
@@ -113,6 +148,7 @@
       ranges.flatMap(({ owner, previous }) => [owner, ...previous])
         .map(incarnationKey),
     );
+    this.#fences.prune(document);
     this.#leaseEnds.prune(clock.now(), (key) => incarnations.has(key));
     const ids = new Set([...incarnations].map(idOfIncarnationKey));
     for (const id of this.#addresses.keys()) {
@@ -126,7 +162,7 @@
     const { clock, view, holdMs } = this.#opts;
     const upstream = view.upstream(range.owner.id);
     if (!isOwner(range, upstream)) return;
-    const key = renewalKey(range);
+    const key = rangeKey(range);
     const now = clock.now();
     const existing = this.#renewals.get(key);
     if (existing !== undefined) {
@@ -252,8 +288,8 @@
 
   async #runMove(range: KeyRange, signal: AbortSignal): Promise<void> {
     try {
-      const completed = await this.#move(range, signal);
-      if (completed) this.#completedMoves.add(range.fence);
+      const expired = await this.#move(range, signal);
+      if (expired !== undefined) this.#completedMoves.set(range.fence, expired);
     } catch (err) {
       this.#onUnexpectedError(err, range);
       await this.#opts.clock.sleep(ORDER_RETRY_DELAY_MS, signal);
@@ -264,37 +300,43 @@
 
   /**
    * Releases keys from their previous owners and grants them to the new one.
-   * Returns whether the new owner has its grant.
+   * Returns the previous owners whose leases have expired without a release;
+   * undefined if the new owner has no grant.
    */
-  async #move(range: KeyRange, signal: AbortSignal): Promise<boolean> {
+  async #move(
+    range: KeyRange,
+    signal: AbortSignal,
+  ): Promise<KeyRange["owner"][] | undefined> {
     const { clock, view } = this.#opts;
     let handover: string | undefined;
+    const expired: KeyRange["owner"][] = [];
     for (const previous of range.previous) {
       const released = await this.#release(range, previous, signal);
-      if (released === undefined) return false;
+      if (released === undefined) return undefined;
       handover = released.handover ?? handover;
+      if (released.expired) expired.push(previous);
     }
     while (this.#mayOrder(range, signal)) {
       const upstream = view.upstream(range.owner.id);
-      if (!isOwner(range, upstream)) return false;
+      if (!isOwner(range, upstream)) return undefined;
       const result = await this.#grant(range, upstream, handover, signal);
       if (result === "granted") {
         const now = clock.now();
-        this.#renewals.set(renewalKey(range), {
+        this.#renewals.set(rangeKey(range), {
           grantedAt: now,
           lastAttemptAt: now,
           inFlight: false,
           stale: false,
         });
-        return true;
+        return expired;
       }
       if (result === "stale") {
         this.#opts.onStale();
-        return false;
+        return undefined;
       }
       await clock.sleep(ORDER_RETRY_DELAY_MS, signal);
     }
-    return false;
+    return undefined;
   }
 
   /**
@@ -305,7 +347,7 @@
     range: KeyRange,
     previous: KeyRange["previous"][number],
     signal: AbortSignal,
-  ): Promise<{ handover: string | undefined } | undefined> {
+  ): Promise<{ expired: boolean; handover: string | undefined } | undefined> {
     const { clock, grants, view, logger, metrics, service, lease } = this.#opts;
     const { first, last, fence } = range;
     while (this.#mayOrder(range, signal)) {
@@ -334,7 +376,7 @@
           ),
           earlierOrdersAgeMs: Math.round(now - lease.predecessorOrdersEndAt),
         }, "lease of the previous owner has expired");
-        return { handover: undefined };
+        return { expired: true, handover: undefined };
       }
       const address = this.#addresses.get(previous.id);
       if (address !== undefined) {
@@ -360,7 +402,10 @@
         // The release carried a higher token, so the upstream refuses an
         // earlier unanswered grant that arrives late.
         if (released.kind === "released") {
-          return { handover: isNewIncarnation ? undefined : released.handover };
+          return {
+            expired: false,
+            handover: isNewIncarnation ? undefined : released.handover,
+          };
         }
       }
       await clock.sleep(ORDER_RETRY_DELAY_MS, signal);
@@ -398,16 +443,6 @@
   }
 }
 
-function renewalKey({ first, last, fence }: KeyRange): string {
-  return `${first}-${last}-${fence}`;
-}
-
-function incarnationKey(
-  upstream: { id: string; incarnation: number },
-): string {
-  return `${upstream.id}/${upstream.incarnation}`;
-}
-
 function idOfIncarnationKey(key: string): string {
   return key.slice(0, key.lastIndexOf("/"));
 }
--- a/src/ranges/service_ranges.ts
+++ b/src/ranges/service_ranges.ts
@@ -134,11 +134,8 @@
     const { store, table, service, logger, view } = this.#opts;
     const before = this.#table;
     if (before === undefined) return;
-    const completed = new Set(this.#orders.completedMoves);
-    const cleared = completed.size === 0
-      ? before.document
-      : clearCompletedMoves(before.document, completed);
-    const planned = this.#plan(cleared) ?? cleared;
+    const current = this.#orders.applyProgress(before.document);
+    const planned = this.#plan(current) ?? current;
     if (planned === before.document) return;
     const outcome = await store.transact({
       expect: [{ table, key: service, version: before.version }],
@@ -206,16 +203,3 @@
     return planned;
   }
 }
-
-/** Removes the previous owners of ranges that have been granted. */
-function clearCompletedMoves(
-  document: RangeDocument,
-  completed: ReadonlySet<number>,
-): RangeDocument {
-  return {
-    ...document,
-    ranges: document.ranges.map((range) =>
-      completed.has(range.fence) ? { ...range, previous: [] } : range
-    ),
-  };
-}
--- /dev/null
+++ b/src/ranges/unfenced_owners.ts
@@ -0,0 +1,22 @@
+import { incarnationKey } from "./incarnation_key.ts";
+import type { KeyRange } from "./key_range.ts";
+
+/**
+ * Combines lists of owners that have not received the token of a later owner.
+ *
+ * @param owner - owner of the range, whose own grant carries the token
+ * @param lists - lists to combine
+ * @returns each listed incarnation once, without the owner; undefined if there
+ * is none
+ */
+export function unfencedOwners(
+  owner: KeyRange["owner"],
+  ...lists: KeyRange["unfenced"][]
+): KeyRange["unfenced"] {
+  const found = new Map<string, KeyRange["owner"]>();
+  for (const { id, incarnation } of lists.flatMap((list) => list ?? [])) {
+    found.set(incarnationKey({ id, incarnation }), { id, incarnation });
+  }
+  found.delete(incarnationKey(owner));
+  return found.size === 0 ? undefined : [...found.values()];
+}
--- a/tests/ranges/service_ranges_test.ts
+++ b/tests/ranges/service_ranges_test.ts
@@ -251,6 +251,41 @@
     }
   }
 
+  // Guards against keys with two owners: a grant that a killed leader has sent is
+  // delivered after a partition. The upstream must have been sent the higher
+  // token with which its keys have moved meanwhile, also by a later leader.
+  for (const leader of ["the leader that moved them", "its successor"]) {
+    it(`sends the token of moved keys to an owner that returns, from ${leader}`, async () => {
+      const rig = new RangeRig();
+      const first = await startLeader(rig);
+      rig.upstreams.late.set("vm-1", new Set(["u-2"]));
+      await rig.advance(1400);
+      first.end.abort();
+      let last = rig.addCandidate("vm-2", IDS);
+      rig.upstreams.cutOff.set("vm-2", new Set(["u-2"]));
+      await takeOver(rig, last);
+      last.view.removeUpstreams(["u-2"]);
+      last.lease.onPeerSeen("vm-1", "vm-1-2");
+      await rig.advance(6000);
+      assert.equal(rig.fractionHeldOnce(), 1);
+      if (leader === "its successor") {
+        last.end.abort();
+        last = rig.addCandidate("vm-3", IDS);
+        last.view.removeUpstreams(["u-2"]);
+        await takeOver(rig, last);
+      }
+      rig.upstreams.cutOff.clear();
+      rig.register(last.view, "u-2");
+      await rig.advance(200);
+      rig.upstreams.deliverLateGrants();
+      assert.deepEqual(rig.upstreams.overlaps, []);
+      await rig.advance(6000);
+      assert.deepEqual(rig.upstreams.overlaps, []);
+      assert.equal(rig.fractionHeldOnce(), 1);
+      last.end.abort();
+    });
+  }
+
   // Guards against a leader that completes a move after its time to send orders
   // has ended, while its successor assigns the same keys.
   it("grants no moved keys once it may send no orders", async () => {
--- a/tests/support/lease_upstreams.ts
+++ b/tests/support/lease_upstreams.ts
@@ -26,6 +26,9 @@
   readonly cutOff = new Map<string, ReadonlySet<string>>();
   /** IDs of the upstreams that carry out no release, as work is running. */
   readonly busy = new Set<string>();
+  /** IDs of the upstreams that grants of one VM reach late, by the VM. */
+  readonly late = new Map<string, ReadonlySet<string>>();
+  readonly #lateGrants: (() => unknown)[] = [];
   /** Times at which a grant of each VM last reached an upstream. */
   readonly lastGrantAt = new Map<string, number>();
   /** IDs of the upstreams that say in their answers that they leave. */
@@ -42,7 +45,7 @@
   /** Returns the connections of one VM to all upstreams. */
   connectionsOf(vm: string): RangeGrants {
     return {
-      grant: (order) => this.#grant(vm, order),
+      grant: (order, signal) => this.#grant(vm, order, signal),
       release: (order, signal) => this.#release(vm, order, signal),
     };
   }
@@ -50,8 +53,13 @@
   #grant(
     vm: string,
     order: Parameters<RangeGrants["grant"]>[0],
+    signal: AbortSignal,
   ): ReturnType<RangeGrants["grant"]> {
     if (!this.#canReach(vm, order.id)) return Promise.resolve("not_sent");
+    if (this.late.get(vm)?.has(order.id) === true) {
+      this.#lateGrants.push(() => this.#grant(vm, order, signal));
+      return untilAborted(signal, "unanswered");
+    }
     const connected = this.#connected.get(order.id) ?? new Set();
     if (order.sameProcess && !connected.has(vm)) {
       return Promise.resolve("not_sent");
@@ -89,13 +97,7 @@
     const { id, first, last, fence } = order;
     if (!this.#canReach(vm, id)) return Promise.resolve({ kind: "not_sent" });
     if (this.busy.has(id)) {
-      return new Promise((resolve) =>
-        signal.addEventListener(
-          "abort",
-          () => resolve({ kind: "unanswered" }),
-          { once: true },
-        )
-      );
+      return untilAborted(signal, { kind: "unanswered" });
     }
     this.#addLease(this.#seenOrders, id, { first, last, fence, expiresAt: 0 });
     const remainingLeases = (this.#leases.get(id) ?? []).flatMap((lease) =>
@@ -108,6 +110,12 @@
     return Promise.resolve({ kind: "released", handover: "state" });
   }
 
+  /** Carries out the grants of `late`, in the order in which they were sent. */
+  deliverLateGrants(): void {
+    this.late.clear();
+    for (const deliver of this.#lateGrants.splice(0)) deliver();
+  }
+
   /** Restarts an upstream, which forgets its leases and fencing tokens. */
   restart(id: string): void {
     this.#connected.delete(id);
@@ -148,3 +156,9 @@
     else leases.push(lease);
   }
 }
+
+function untilAborted<T>(signal: AbortSignal, result: T): Promise<T> {
+  return new Promise((resolve) =>
+    signal.addEventListener("abort", () => resolve(result), { once: true })
+  );
+}
