fix(ranges): take the end of an earlier leader from its own address only

Cause: a report that names another process of an earlier leader's VM was taken as a sign that the earlier leader has ended. A report of the process before it, which was killed behind a partition, may arrive later than that: the successor then stops waiting for orders that are still sent.

Price: a restart of an earlier leader is known up to 250 ms later than by its first report.

--- a/src/ranges/leader_lease.ts
+++ b/src/ranges/leader_lease.ts
@@ -184,20 +184,6 @@
     this.#leaderBecameUnreachable.notify();
   }
 
-  /**
-   * Records which process of a VM is running. Earlier processes of the VM send
-   * no more orders.
-   *
-   * @param vm - name of the VM
-   * @param incarnation - the VM's current incarnation; earlier ones have ended
-   */
-  onPeerSeen(vm: string, incarnation: string): void {
-    this.#onStopped(
-      (leader) => leader.vm === vm && leader.incarnation !== incarnation,
-      "its process has been replaced",
-    );
-  }
-
   /**
    * @returns earlier leaders that may still send orders; empty unless this VM
    * holds the lease
@@ -215,9 +201,18 @@
    * @param incarnation - the process that led
    */
   onEarlierLeaderStopped(incarnation: string): void {
-    this.#onStopped(
-      (leader) => leader.incarnation === incarnation,
-      "it has stepped down",
+    const { clock, logger } = this.#opts;
+    const stopped = this.#earlierLeaders.find((leader) =>
+      leader.incarnation === incarnation
+    );
+    if (stopped === undefined) return;
+    const { vm, ordersEndAt } = stopped;
+    const now = clock.now();
+    const ordersMs = Math.round(ordersEndAt - now);
+    logger.info({ vm, ordersMs }, "earlier leader sends no orders");
+    this.#raiseUnnamedEnd(Math.min(now, ordersEndAt));
+    this.#earlierLeaders = this.#earlierLeaders.filter((leader) =>
+      leader !== stopped
     );
   }
 
@@ -475,19 +470,6 @@
     return { kind: "applied" };
   }
 
-  #onStopped(isStopped: (leader: Identity) => boolean, reason: string): void {
-    const { clock, logger } = this.#opts;
-    const now = clock.now();
-    for (const { vm, ordersEndAt } of this.#earlierLeaders.filter(isStopped)) {
-      const ordersMs = Math.round(ordersEndAt - now);
-      logger.info({ vm, ordersMs, reason }, "earlier leader sends no orders");
-      this.#raiseUnnamedEnd(Math.min(now, ordersEndAt));
-    }
-    this.#earlierLeaders = this.#earlierLeaders.filter((leader) =>
-      !isStopped(leader)
-    );
-  }
-
   #raiseUnnamedEnd(endsAt: number): void {
     this.#unnamedLeadersEndAt = Math.max(this.#unnamedLeadersEndAt, endsAt);
   }
--- a/src/ranges/range_controller.ts
+++ b/src/ranges/range_controller.ts
@@ -312,7 +312,6 @@
   #onReport(report: Report): ReportResponse {
     const { lease, clock, view } = this.#opts;
     const now = clock.now();
-    lease.onPeerSeen(report.vm, report.incarnation);
     if (!lease.held) return { keeper: false, vms: view.vms };
     const isLeader = lease.confirmed;
     const { vm, region = "", peerUrl = "", canRelay, cores } = report;
