--- a/src/ranges/leader_lease.ts
+++ b/src/ranges/leader_lease.ts
@@ -326,7 +326,7 @@
         // An earlier renewal whose response was lost may have been applied.
         const row = await this.#readRow();
         if (row === "unknown") return;
-        if (row?.incarnation !== this.#opts.self.incarnation) {
+        if (this.#held && row?.incarnation !== this.#opts.self.incarnation) {
           this.#lose("another VM holds it");
         }
         return;
--- a/src/ranges/lease_ends.ts
+++ b/src/ranges/lease_ends.ts
@@ -52,6 +52,17 @@
     return at === undefined ? undefined : Math.round(now - at);
   }
 
+  /**
+   * @param owner - who received orders
+   * @param now - monotonic milliseconds
+   * @returns milliseconds since the end of its leases; undefined if there was
+   * no order
+   */
+  endAgeMs(owner: string, now: number): number | undefined {
+    const end = this.endOf(owner);
+    return end === 0 ? undefined : Math.round(now - end);
+  }
+
   /**
    * Removes leases that have ended, also those of orders whose end was not
    * reported.
--- a/src/ranges/range_orders.ts
+++ b/src/ranges/range_orders.ts
@@ -371,8 +371,9 @@
             incarnationKey(previous),
             now,
           ),
-          ownLeaseEndAgeMs: Math.round(
-            now - this.#leaseEnds.endOf(incarnationKey(previous)),
+          ownLeaseEndAgeMs: this.#leaseEnds.endAgeMs(
+            incarnationKey(previous),
+            now,
           ),
           earlierOrdersAgeMs: Math.round(now - lease.predecessorOrdersEndAt),
         }, "lease of the previous owner has expired");
