fix(upstreams): reset a connection whose exchange is given up on

Cause: an aborted exchange closed its socket in order. The kernel then goes on sending what the socket still holds, so an order or request that is held up by a partition is delivered after its sender has given it up.

Change: `UpstreamSocket` resets the connection when it is destroyed while a request on it has not ended, whoever destroys it: undici does so itself when a request is aborted, before `UpstreamConnection.destroy`. Idle connections and those that are still connecting are closed as before. The reason passed to `destroy` is kept, so that our own side reads the end as before.

Ruled out: that a reset of our own counts as one by the upstream (`onClosed` is not called), that an aborted request throws while it connects or waits for acceptance, that an idle connection is reset.

Not covered: bytes that the other kernel has already received, a sender that is killed, and a connection whose upstream has sent its end first.

--- a/src/upstreams/open_socket.ts
+++ b/src/upstreams/open_socket.ts
@@ -21,7 +21,7 @@
   address: string,
   clock: Clock,
   onDecided: (err: Error | undefined, socket: Socket) => void,
-): Socket {
+): UpstreamSocket {
   const { hostname, port } = new URL(`http://${address}`);
   const socket = new UpstreamSocket();
   socket.connect({
--- a/src/upstreams/upstream_connection.ts
+++ b/src/upstreams/upstream_connection.ts
@@ -5,6 +5,7 @@
 import { AnswerMeter } from "./answer_meter.ts";
 import { ConnectionRejected } from "./connection_rejected.ts";
 import { openSocket } from "./open_socket.ts";
+import type { UpstreamSocket } from "./upstream_socket.ts";
 
 type Options = {
   /** `ip:port` of the upstream. */
@@ -38,7 +39,7 @@
 export class UpstreamConnection {
   readonly #options: Options;
   readonly #client: Client;
-  #socket: Socket | undefined;
+  #socket: UpstreamSocket | undefined;
   #established = false;
   #closed = false;
   #reset = false;
@@ -114,6 +115,7 @@
       onRequestStart: (controller, context) => {
         this.#startMeter();
         handler.onRequestStart(controller, context);
+        this.#resetOnDestroy(true);
       },
       onResponseStart: (controller, status, headers, message) => {
         if (status >= FIRST_FINAL_STATUS) {
@@ -127,6 +129,7 @@
       },
       onResponseEnd: (controller, trailers) => {
         this.#meter = undefined;
+        this.#resetOnDestroy(false);
         handler.onResponseEnd(controller, trailers);
       },
       onResponseError: (controller, err) => {
@@ -136,7 +139,10 @@
     });
   }
 
-  /** Closes the connection at once; a request on it fails. */
+  /**
+   * Closes the connection at once. A request on it fails, and the kernel
+   * delivers no more of it.
+   */
   destroy(): void {
     if (this.#closed) return;
     this.#closed = true;
@@ -144,6 +150,11 @@
     this.#socket?.destroy();
   }
 
+  /** Covers each end of an exchange, also those that undici decides on. */
+  #resetOnDestroy(reset: boolean): void {
+    if (this.#socket !== undefined) this.#socket.resetOnDestroy = reset;
+  }
+
   /** Bytes of the connection that undici has taken from the socket. */
   get #parsedBytes(): number {
     const socket = this.#socket;
--- a/src/upstreams/upstream_socket.ts
+++ b/src/upstreams/upstream_socket.ts
@@ -1,7 +1,7 @@
 import { Socket } from "node:net";
 
 /**
- * A socket that reports a reset as an error even if it arrives together with
+ * A socket that can be closed by a reset, and that reports a reset as an error even if it arrives together with
  * the last bytes.
  *
  * Node.js (libuv) treats a connection that is closed in both directions as
@@ -11,11 +11,31 @@
  * the event loop, so that the next read follows another poll.
  */
 export class UpstreamSocket extends Socket {
+  /**
+   * Whether `destroy` resets the connection, so that the kernel discards what
+   * it has not sent. Otherwise it goes on sending, for instance after a
+   * partition, although the socket is closed.
+   */
+  resetOnDestroy = false;
+  #destroyReason: Error | undefined;
+
   constructor() {
     // Each chunk fills the buffer, at which Node.js stops reading.
     super({ readableHighWaterMark: 1 } as object);
   }
 
+  override destroy(err?: Error): this {
+    // libuv refuses to reset a connection whose sending side it shuts down.
+    const canReset = !this.destroyed && !this.connecting && !this.writableEnded;
+    if (!this.resetOnDestroy || !canReset) {
+      return super.destroy(err ?? this.#destroyReason);
+    }
+    this.resetOnDestroy = false;
+    // `resetAndDestroy` calls this method without the reason.
+    this.#destroyReason = err;
+    return this.resetAndDestroy();
+  }
+
   override _read(size: number): void {
     setImmediate(() => {
       if (!this.destroyed) super._read(size);
--- a/tests/platform/grant_client_test.ts
+++ b/tests/platform/grant_client_test.ts
@@ -117,6 +117,36 @@
     raw.close();
   });
 
+  // Guards against two owners of keys: an order that has timed out is held up
+  // by a partition and delivered after the lease counts as expired.
+  for (const path of ["grant", "release"] as const) {
+    it(`resets the connection of a ${path} that has timed out`, async () => {
+      let onSeen: (end: string) => void = () => undefined;
+      const seen = new Promise<string>((resolve) => {
+        onSeen = resolve;
+      });
+      const timeout = new AbortController();
+      const raw = await new RawUpstream((socket) => {
+        socket.once("end", () => onSeen("end"));
+        socket.once(
+          "error",
+          (err: NodeJS.ErrnoException) => onSeen(err.code ?? err.message),
+        );
+        timeout.abort();
+      }).listen();
+      const end = new AbortController();
+      const client = new GrantClient(systemClock, end.signal);
+      const sent = path === "grant"
+        ? client.grant(order(raw.port), timeout.signal)
+        : client.release(order(raw.port), timeout.signal)
+          .then(({ kind }) => kind);
+      assert.equal(await sent, "unanswered");
+      assert.equal(await seen, "ECONNRESET");
+      end.abort();
+      raw.close();
+    });
+  }
+
   // Guards against renewals that end because of a second copy of a refusal.
   it("takes no second copy of a refusal for that of the next grant", async () => {
     const refused = new Set<Socket>();
