--- a/src/upstreams/upstream_socket.ts
+++ b/src/upstreams/upstream_socket.ts
@@ -1,8 +1,8 @@
 import { Socket } from "node:net";
 
 /**
- * A socket that can be closed by a reset, and that reports a reset as an error even if it arrives together with
- * the last bytes.
+ * A socket that can be closed by a reset, and that reports a reset as an error
+ * even if it arrives together with the last bytes.
  *
  * Node.js (libuv) treats a connection that is closed in both directions as
  * ended once it has read the available bytes, and then does not learn from a
