test(upstreams): an exchange that ends with the upstream's end is reset

The socket still holds the request then, and its sending side is shut down only if the exchange has ended in order.

--- a/tests/upstreams/upstream_exchange_test.ts
+++ b/tests/upstreams/upstream_exchange_test.ts
@@ -94,6 +94,7 @@
     const { ends, answer, end } of [
       { ends: "is aborted", answer: "", end: "abort" },
       { ends: "loses its connection", answer: "", end: "destroy" },
+      { ends: "gets the upstream's end", answer: "", end: "upstream" },
       { ends: "is aborted", answer: PART_OF_ANSWER, end: "abort" },
       { ends: "is not read on", answer: PART_OF_ANSWER, end: "unread" },
       { ends: "has no parsable answer", answer: "no answer\r\n", end: "none" },
@@ -122,13 +123,15 @@
       }
       if (end === "abort") exchange.abort(reason);
       if (end === "destroy") connection.destroy();
+      if (end === "upstream") socket.end();
       const err = await ended;
       assert.equal(await seen, "ECONNRESET");
       if (end === "abort" || end === "unread") assert.equal(err, reason);
       else assert.ok(err);
       assert.equal(connection.closed, true);
-      // A connection that was closed here was not closed by the upstream.
-      assert.equal(failures.length, end === "none" ? 1 : 0);
+      // A connection that was given up on was not closed by the upstream.
+      const byUpstream = end === "none" || end === "upstream";
+      assert.equal(failures.length, byUpstream ? 1 : 0);
     });
   }
 
