fix(regions): wait for abandoned requests of an ended dispatch term

Services whose upstreams do not check grants, on a planned stop of a router: two upstreams may run requests for one key, for up to `maxRunMs` (2 s by default).

Cause: a dispatcher whose caller has gone (or whose upstream was silent) abandons the request and has none in flight, so it reports the term as ended at once. The upstream runs the request until the deadline that was sent with it. The dispatcher counts that for units that it releases, but its record ends with the term: the coordinator took an ended term to be drained since ever, and the next dispatcher knows nothing of these requests. A shard that moved right after the handover went to another upstream too early.

Ruled out: a dispatcher that is lost (lease and maxRunMs are waited for), a new coordinator (waits maxRunMs from its start), a second term at the same router (shares the record), upstreams that check grants (the lease's end is waited for).

Change: a report says for an ended term how long abandoned requests may still run (`readyInMs`); the units stay until then, counted from the arrival of the report. Without the field, from a router of an earlier version, the coordinator waits `maxRunMs`. The upstream still gets its next dispatcher at once. The simulated routers of the ownership tests never abandon a request and report 0.

--- a/src/regions/dispatch_term.ts
+++ b/src/regions/dispatch_term.ts
@@ -13,6 +13,11 @@
   ending = false;
   /** The router has ended the dispatch term, with no request in flight. */
   ended = false;
+  /**
+   * Time from which no request that the router abandoned in an ended term can
+   * run, on the coordinator's clock.
+   */
+  #abandonedUntil = Infinity;
   /**
    * A write has been attempted that relies on the expiry of the lease. The
    * write may take effect late, so the dispatch term is never renewed again.
@@ -49,6 +54,17 @@
       !this.ended && !this.retired;
   }
 
+  /**
+   * Records that the router has ended the dispatch term.
+   *
+   * @param abandonedUntil - time from which no request that the router has
+   * abandoned can run, on the coordinator's clock
+   */
+  end(abandonedUntil: number): void {
+    this.ended = true;
+    this.#abandonedUntil = Math.min(this.#abandonedUntil, abandonedUntil);
+  }
+
   /**
    * @param now - the coordinator's clock
    * @returns whether the upstream may be assigned to another dispatcher
@@ -65,6 +81,8 @@
    */
   drainedAt(service: { checksGrants: boolean; maxRunMs: number }): number {
     if (service.checksGrants) return this.leaseUntil;
-    return this.ended ? 0 : this.leaseUntil + service.maxRunMs;
+    return this.ended
+      ? this.#abandonedUntil
+      : this.leaseUntil + service.maxRunMs;
   }
 }
--- a/src/regions/renew_params.ts
+++ b/src/regions/renew_params.ts
@@ -38,12 +38,15 @@
   })),
   /**
    * Dispatch terms that have ended with no request in flight, so that another
-   * dispatcher can be assigned.
+   * dispatcher can be assigned. `readyInMs` is how long the upstream may still
+   * run requests that were abandoned, in milliseconds; earlier versions of this
+   * program do not report it.
    */
   ended: z.array(z.object({
     service: z.string(),
     upstream: z.string(),
     epoch: z.int().positive(),
+    readyInMs: z.number().nonnegative().optional(),
   })),
   upstreams: z.array(z.object({
     service: z.string(),
--- a/src/regions/report_digest.ts
+++ b/src/regions/report_digest.ts
@@ -20,7 +20,11 @@
       upstream,
       unit,
     ]),
-    report.ended,
+    report.ended.map(({ service, upstream, epoch }) => [
+      service,
+      upstream,
+      epoch,
+    ]),
     report.upstreams.map(({ service, upstream, state }) => [
       service,
       upstream,
--- a/src/regions/service_state.ts
+++ b/src/regions/service_state.ts
@@ -195,11 +195,12 @@
     // A report made before the router received an answer of this coordinator
     // may list releases that a former coordinator has cancelled since.
     if (report.coordinatorEpoch !== coordinator.epoch) return;
-    for (const { upstream, epoch } of ofThisService(report.ended)) {
+    for (const { upstream, epoch, readyInMs } of ofThisService(report.ended)) {
       const term = this.terms.get(upstream);
       if (term?.vm !== report.vm || term.epoch !== epoch) continue;
       term.incarnation ??= report.incarnation;
-      if (term.incarnation === report.incarnation) term.ended = true;
+      if (term.incarnation !== report.incarnation) continue;
+      term.end(coordinator.now + (readyInMs ?? this.#maxRunMs));
     }
     const revision = report.rows[this.service] ?? 0;
     const released = ofThisService(report.released);
--- a/src/upstreams/dispatcher.ts
+++ b/src/upstreams/dispatcher.ts
@@ -219,6 +219,16 @@
       this.#inFlight.withEarlierTerms().length === 0;
   }
 
+  /**
+   * @returns milliseconds for which the upstream may run abandoned requests; 0
+   * if it checks grants, since it refuses those of a former dispatch term
+   */
+  get abandonedMs(): number {
+    return this.#renewer === undefined
+      ? this.#abandonedRuns.remainingMs(() => true)
+      : 0;
+  }
+
   /**
    * Makes one attempt to have the upstream serve a request.
    *
--- a/src/upstreams/dispatcher_pool.ts
+++ b/src/upstreams/dispatcher_pool.ts
@@ -100,7 +100,7 @@
       const term = { service, upstream, epoch: dispatcher.epoch };
       if (dispatcher.drained) {
         active.endReportedTo = this.#coordinatorEpoch;
-        report.ended.push(term);
+        report.ended.push({ ...term, readyInMs: dispatcher.abandonedMs });
         continue;
       }
       report.tenures.push(term);
--- a/tests/support/region_dispatch_host.ts
+++ b/tests/support/region_dispatch_host.ts
@@ -79,7 +79,8 @@
     });
     return {
       tenures: terms.filter((term) => !term.ended).map(identify),
-      ended: terms.filter((term) => term.ended).map(identify),
+      ended: terms.filter((term) => term.ended)
+        .map((term) => ({ ...identify(term), readyInMs: 0 })),
       released: terms.flatMap((term) =>
         [...term.releases].filter(([, release]) => release.drained)
           .map(([unit, release]) => ({
