fix(direct): count the leaving of an owner from when it may have been stored

A VM that learns late that the owner of a key drains or is evacuated (its feed or relay was silent, it was cut off or suspended, or it has just started) sends it requests for another 1.2 s: with rows 2.3 s old, up to 3.5 s after the row was stored, where 2.5 s are allowed, and a VM that has just started at any time.

Cause: the 1.2 s for which an owner that leaves still serves were counted from the read of the row. How late rows may be is known (`latenessMs`), but only the log of a new configuration used it.

Ruled out: owners that announce it in an answer (counted from the answer; kept when they are registered again), services without keys (`isUsable`, at once). Left as it is: owners whose entries lapse in an outage of the registry, since they mostly return.

Change: what rows say more than 1 s late counts from as much earlier, so that an owner serves for at most 2.2 s after its leaving may have been stored. Up to 1 s late, nothing changes. Requests for such keys wait for their move instead. A VM cannot tell an outage of the store from its own, so after one it counts the same way.

Tests of direct/ (221) and platform/ (122) pass.

--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -37,6 +37,12 @@
  * fraction of their service is missing, since the others can serve instead.
  */
 const MAX_WITHHELD_FRACTION = 0.5;
+/**
+ * Leaving that becomes known later than this counts from an earlier time. With
+ * the time for which an owner that leaves is used, this is below the 2.5 s after
+ * which it must receive no new work.
+ */
+const LEAVE_LATENESS_MS = 1000;
 /** Upstreams run for at most some minutes after they have announced to leave. */
 const LEAVE_RETENTION_MS = 600_000;
 /**
@@ -67,7 +73,7 @@
   #policies = new Map<string, ServicePolicy>();
   /** Priority number of the most urgent route of each service. */
   #minPriorities = new Map<string, number>();
-  /** Evacuated failure domains, with the time at which that became known. */
+  /** Evacuated failure domains, with the time from which that counts. */
   #evacuated: ReadonlyMap<string, number> = new Map();
   #registryRead = false;
   #registryReconnectedAt = Number.NEGATIVE_INFINITY;
@@ -210,8 +216,9 @@
 
   /**
    * @param upstream - a registered upstream
-   * @returns milliseconds since it is known to be draining or evacuated, or is
-   * withheld because its registry entry is missing; 0 if it is none of these
+   * @returns milliseconds since it became known to be draining or evacuated, or
+   * is withheld because its registry entry is missing, longer if that may have
+   * been stored more than `LEAVE_LATENESS_MS` before; 0 if it is none of these
    */
   leavingMs(upstream: Upstream): number {
     const { id } = upstream.entry;
@@ -275,12 +282,16 @@
     this.changed.notify();
   }
 
-  /** @param domains - all failure domains that receive no new work */
-  setEvacuated(domains: ReadonlySet<string>): void {
+  /**
+   * @param domains - all failure domains that receive no new work
+   * @param origin - how they were read
+   */
+  setEvacuated(domains: ReadonlySet<string>, origin?: RowOrigin): void {
     const before = this.#evacuated;
     const now = this.#opts.clock.now();
+    const since = this.#leaveCountsFrom(origin);
     this.#evacuated = new Map(
-      [...domains].map((domain) => [domain, before.get(domain) ?? now]),
+      [...domains].map((domain) => [domain, before.get(domain) ?? since]),
     );
     const returned = [...before.keys()].filter((domain) =>
       !domains.has(domain)
@@ -325,9 +336,13 @@
     this.#registryReconnectedAt = this.#opts.clock.now();
   }
 
-  /** @param entry - new or changed registry entry */
-  setUpstream(entry: UpstreamEntry): void {
+  /**
+   * @param entry - new or changed registry entry
+   * @param origin - how it was read
+   */
+  setUpstream(entry: UpstreamEntry, origin?: RowOrigin): void {
     const { clock, logger } = this.#opts;
+    const drainingSince = this.#leaveCountsFrom(origin);
     const { id, incarnation, service, state, failureDomain } = entry;
     const known = this.#upstreams.get(id);
     if (this.#missingSince.delete(id)) this.#updateWithheld();
@@ -340,10 +355,13 @@
           "upstream state changed",
         );
       }
-      known.update(entry, clock.now());
+      known.update(entry, { now: clock.now(), drainingSince });
     } else {
       known?.closeWhenReleased();
-      const upstream = new Upstream(entry, clock, this.#sharedOptions(entry));
+      const upstream = new Upstream(entry, clock, {
+        ...this.#sharedOptions(entry),
+        drainingSince,
+      });
       this.#upstreams.set(id, upstream);
       const leave = this.#leaving.get(id);
       if (leave?.incarnation === incarnation) upstream.announceLeave(leave.at);
@@ -395,10 +413,13 @@
     this.#updateWithheld();
   }
 
-  /** @param entries - all entries of the registry */
-  setRegistry(entries: readonly UpstreamEntry[]): void {
+  /**
+   * @param entries - all entries of the registry
+   * @param origin - how they were read
+   */
+  setRegistry(entries: readonly UpstreamEntry[], origin?: RowOrigin): void {
     const present = new Set(entries.map((entry) => entry.id));
-    for (const entry of entries) this.setUpstream(entry);
+    for (const entry of entries) this.setUpstream(entry, origin);
     this.removeUpstreams(
       [...this.#upstreams.keys()].filter((id) => !present.has(id)),
     );
@@ -406,6 +427,15 @@
     this.changed.notify();
   }
 
+  /**
+   * Returns from when an upstream counts as leaving if rows that have just been
+   * read say so.
+   */
+  #leaveCountsFrom(origin: RowOrigin | undefined): number {
+    const latenessMs = origin?.latenessMs ?? 0;
+    return this.#opts.clock.now() - Math.max(0, latenessMs - LEAVE_LATENESS_MS);
+  }
+
   /** Withholds requests from missing upstreams whose service can do without. */
   #updateWithheld(): void {
     if (this.#missingSince.size === 0 && this.#withheld.size === 0) return;
@@ -444,7 +474,7 @@
 
   #sharedOptions(
     entry: UpstreamEntry,
-  ): ConstructorParameters<typeof Upstream>[2] {
+  ): Omit<ConstructorParameters<typeof Upstream>[2], "drainingSince"> {
     const { service } = entry;
     return {
       idleLimit: this.#idleLimit,
--- a/src/direct/upstream.ts
+++ b/src/direct/upstream.ts
@@ -38,7 +38,8 @@
    * @param shared - `idleLimit` for the connections of all upstreams;
    * `mayReject` returns whether the upstream may reset new connections, because
    * its keys may be hot or connections are scarce; `onLeaveAnnounced` is called
-   * once if the upstream says in an answer that it is leaving
+   * once if the upstream says in an answer that it is leaving; `drainingSince`
+   * is from when it counts as draining if the entry says so
    */
   constructor(
     entry: UpstreamEntry,
@@ -47,6 +48,7 @@
       idleLimit: IdleLimit;
       mayReject: () => boolean;
       onLeaveAnnounced: () => void;
+      drainingSince: number;
     },
   ) {
     this.#entry = entry;
@@ -71,7 +73,7 @@
       onAllClosed: () => undefined,
     });
     this.warmUp.setColdUntil(clock.now() + entry.warmUpMs, clock.now());
-    if (entry.state === "draining") this.#drainingSince = clock.now();
+    if (entry.state === "draining") this.#drainingSince = shared.drainingSince;
   }
 
   /**
@@ -129,11 +131,15 @@
 
   /**
    * @param entry - newer entry of the same incarnation
-   * @param now - monotonic milliseconds
+   * @param times - `now`, and from when it counts as draining if the entry says
+   * so for the first time; monotonic milliseconds
    */
-  update(entry: UpstreamEntry, now: number): void {
+  update(
+    entry: UpstreamEntry,
+    { now, drainingSince }: { now: number; drainingSince: number },
+  ): void {
     this.#entry = entry;
-    if (entry.state === "draining") this.#drainingSince ??= now;
+    if (entry.state === "draining") this.#drainingSince ??= drainingSince;
     else this.#drainingSince = undefined;
     this.warmUp.setColdUntil(now + entry.warmUpMs, now);
   }
--- a/tests/support/platform_router.ts
+++ b/tests/support/platform_router.ts
@@ -77,8 +77,8 @@
           },
           registry: {
             table: "servers",
-            onSnapshot: (rows) => registry.onSnapshot(rows),
-            onChanges: (changes) => registry.onChanges(changes),
+            onSnapshot: (rows, origin) => registry.onSnapshot(rows, origin),
+            onChanges: (changes, origin) => registry.onChanges(changes, origin),
           },
         };
       },
--- a/tests/support/test_upstream.ts
+++ b/tests/support/test_upstream.ts
@@ -28,6 +28,11 @@
       ...fields,
     },
     clock,
-    { idleLimit, onLeaveAnnounced: () => undefined, mayReject: () => true },
+    {
+      idleLimit,
+      onLeaveAnnounced: () => undefined,
+      mayReject: () => true,
+      drainingSince: clock.now(),
+    },
   );
 }
