test(direct): an upstream that is registered again keeps its pause

A VM may send to an upstream before the end of the pause that it asked for (BUDGET), may use more connections than it accepts, and may send to an owner that drains for another 1.2 s (DRAIN).

Cause: the registry's removal of an entry removes the `Upstream`; if the same incarnation is listed again (its entry lapsed alone while it could not reach the store, or the change arrived in two answers), it starts anew. Only an announcement in an answer is remembered (`FleetView.#leaving`).

Evidence: the test fails, pause 0 ms in place of 900. The requests in flight are asserted after it and were not reached. The drained time was read in the code only (`fleet_view.ts`, `setUpstream`).

Ruled out: entries that are kept for the recovery period after a reconnect (the same `Upstream` stays), a new incarnation (another process).

Mending needs the connections of a removed upstream to be usable again (`closeWhenReleased` is final).

--- a/tests/direct/fleet_view_test.ts
+++ b/tests/direct/fleet_view_test.ts
@@ -100,6 +100,22 @@
     assert.deepEqual(rig.view.unregisteredLeaves, expected);
   });
 
+  // Guards against a request before the end of an upstream's `Retry-After`
+  // (BUDGET), and against more connections than it accepts: its entry lapsed
+  // alone and was written again, so the process and its requests are the same.
+  it("remembers pause and requests of an upstream that is registered again", () => {
+    const rig = FleetRig.manual();
+    const before = rig.upstream();
+    before.pause(900);
+    before.load.onSent();
+    rig.view.removeUpstreams(["u-1"]);
+    const after = rig.upstream();
+    assert.equal(after.pauseMs(rig.clock.now()), 900);
+    assert.equal(after.load.inFlight, 1);
+    before.load.onEnded();
+    assert.equal(after.load.inFlight, 0);
+  });
+
   it("treats a new incarnation with the same id as a new upstream", () => {
     const rig = FleetRig.manual();
     const before = rig.upstream();
