test(regions): the longest run of the catalogue before a change

Services whose upstreams do not check grants: if an operator lowers `maxRunMs` just before a dispatcher is lost, two upstreams may run requests for one key for up to the difference.

Evidence: the test fails; with 700 ms lowered to 100 the shards move at 2,100 ms, a request may run until 2,690.

Ruled out: a planned move (the dispatcher counts from the deadline that it sent).

A coordinator that starts after the change cannot know the former value, so a mend has to store it, or to bound by what routers report.

--- a/tests/regions/coordinator_term_test.ts
+++ b/tests/regions/coordinator_term_test.ts
@@ -11,11 +11,12 @@
 function catalogueOf(
   checksGrants: boolean,
   homeRegions = ["sierra"],
+  maxRunMs = MAX_RUN_MS,
 ): CatalogueDocument {
   return CatalogueDocument.parse({
     schema: 1,
     services: {
-      usage: { shards: 2, slots: 1, connections: 1, maxRunMs: MAX_RUN_MS },
+      usage: { shards: 2, slots: 1, connections: 1, maxRunMs },
     },
     entries: {
       all: {
@@ -66,6 +67,7 @@
   term: CoordinatorTerm;
   plan: (now: number, changes?: {
     leaving?: string[];
+    maxRunMs?: number;
     otherRegionRows?: { revision: number; row: AssignmentRow }[];
   }) => ReturnType<CoordinatorTerm["plan"]>;
 };
@@ -87,7 +89,9 @@
     plan: (now, changes = {}) =>
       term.plan({
         now,
-        catalogue,
+        catalogue: changes.maxRunMs === undefined
+          ? catalogue
+          : catalogueOf(opts.checksGrants, opts.homeRegions, changes.maxRunMs),
         vms: vms.map((vm) =>
           changes.leaving?.includes(vm.id) === true
             ? { ...vm, state: "leaving" as const }
@@ -162,6 +166,21 @@
   assert.deepEqual(write?.row.shards, [1, 1]);
 });
 
+// Guards against two upstreams that run requests for one key: those of a lost
+// dispatcher carry the longest run of the catalogue under which they were sent.
+test("shards of a lost dispatcher move only after the longest request of the catalogue before", () => {
+  const run = startTerm({ checksGrants: false, row: rowOf({}) });
+  answerReport(run, "y", 1900, {
+    tenures: dispatchTermOf("b", 4),
+    upstreams: warmUpstream("b"),
+  });
+  const leaving = ["a"];
+  const maxRunMs = 100;
+  run.plan(TTL_MS - 10, { leaving, maxRunMs });
+  const at = TTL_MS + MAX_RUN_MS - 10;
+  assert.deepEqual(run.plan(at - 1, { leaving, maxRunMs }), []);
+});
+
 // Guards against a shard that moves because of a release that does not count,
 // see ServiceState.accept.
 const released = [
