test(direct): a returned upstream stays cold when its row is read again

Upstreams of a domain that is no longer evacuated count as cold for `warmUpMs`, since they may have become cold without saying so. `FleetView.setUpstream` replaces that time by the row's, also by an earlier one, when the row is read again: with the whole table after a lost history, or as a heartbeat. The upstream then gets the load of a warm one.

Evidence: the test fails; the upstream counts as warm at once.

Ruled out: a new incarnation (a new `Upstream`, cold by its own row).

Open is when an upstream's own statement, made after its return, may end the time.

--- a/tests/direct/fleet_view_test.ts
+++ b/tests/direct/fleet_view_test.ts
@@ -138,6 +138,20 @@
     assert.ok(!upstream.warmUp.isCold(rig.clock.now() + 3000));
   });
 
+  // Guards against a returned upstream that gets the load of a warm one
+  // (FAILBACK): its row was written before it became cold, and is read again
+  // with the whole table after a partition.
+  it("keeps a returned upstream cold when its row is read again", async () => {
+    const rig = FleetRig.manual();
+    rig.configure([rig.route()]);
+    const upstream = rig.upstream();
+    rig.view.setEvacuated(new Set(["a1"]));
+    await rig.clock.advance(500);
+    rig.view.setEvacuated(new Set());
+    rig.view.setRegistry([upstream.entry]);
+    assert.ok(upstream.warmUp.isCold(rig.clock.now()));
+  });
+
   // Guards against a new leader that has no reports of other VMs yet and counts
   // only itself, so that each VM uses a multiple of its share of common limits.
   it("accepts a lower number of VMs only after a delay", async () => {
