--- a/tests/direct/fleet_view_test.ts
+++ b/tests/direct/fleet_view_test.ts
@@ -100,6 +100,22 @@
     assert.deepEqual(rig.view.unregisteredLeaves, expected);
   });
 
+  // Guards against a request before the end of an upstream's `Retry-After`
+  // (BUDGET), and against more connections than it accepts: its entry lapsed
+  // alone and was written again, so the process and its requests are the same.
+  it("remembers pause and requests of an upstream that is registered again", () => {
+    const rig = FleetRig.manual();
+    const before = rig.upstream();
+    before.pause(900);
+    before.load.onSent();
+    rig.view.removeUpstreams(["u-1"]);
+    const after = rig.upstream();
+    assert.equal(after.pauseMs(rig.clock.now()), 900);
+    assert.equal(after.load.inFlight, 1);
+    before.load.onEnded();
+    assert.equal(after.load.inFlight, 0);
+  });
+
   it("treats a new incarnation with the same id as a new upstream", () => {
     const rig = FleetRig.manual();
     const before = rig.upstream();
@@ -122,6 +138,20 @@
     assert.ok(!upstream.warmUp.isCold(rig.clock.now() + 3000));
   });
 
+  // Guards against a returned upstream that gets the load of a warm one
+  // (FAILBACK): its row was written before it became cold, and is read again
+  // with the whole table after a partition.
+  it("keeps a returned upstream cold when its row is read again", async () => {
+    const rig = FleetRig.manual();
+    rig.configure([rig.route()]);
+    const upstream = rig.upstream();
+    rig.view.setEvacuated(new Set(["a1"]));
+    await rig.clock.advance(500);
+    rig.view.setEvacuated(new Set());
+    rig.view.setRegistry([upstream.entry]);
+    assert.ok(upstream.warmUp.isCold(rig.clock.now()));
+  });
+
   // Guards against a new leader that has no reports of other VMs yet and counts
   // only itself, so that each VM uses a multiple of its share of common limits.
   it("accepts a lower number of VMs only after a delay", async () => {
