fix(ranges): ask again whether orders may be sent once connected

Cause: whether the leader may send orders was asked when a grant was decided. A grant that waits for its connection while the VM is suspended was written after it, when the drift of the clocks already shows that another leader may have moved the keys. The timeout of the order stands still in a suspension as well.

Change: a grant asks once more before its first byte. A release only takes keys away and is sent.

--- a/src/ranges/range_grants.ts
+++ b/src/ranges/range_grants.ts
@@ -16,7 +16,8 @@
    * the upstream.
    *
    * @param order - the keys, the lease duration in milliseconds, the handover
-   * token returned by the release from the previous owner, whether to send only
+   * token returned by the release from the previous owner, `maySend`, which is
+   * asked again once the connection is established, whether to send only
    * on a connection on which the upstream has accepted a grant before, so that
    * it is the same process and knows the tokens that it has received since, and
    * a callback for an answer that says that the upstream is leaving
@@ -29,6 +30,7 @@
     order: Order & {
       holdMs: number;
       handover: string | undefined;
+      maySend: () => boolean;
       sameProcess: boolean;
       onLeaving: () => void;
     },
--- a/src/ranges/range_orders.ts
+++ b/src/ranges/range_orders.ts
@@ -250,6 +250,7 @@
             fence,
             holdMs,
             handover,
+            maySend: () => lease.maySendOrders,
             // While the leader lease is not confirmed, another leader may have
             // moved the keys. An upstream that has restarted since would not
             // know that leader's token.
--- a/tests/platform/grant_client_test.ts
+++ b/tests/platform/grant_client_test.ts
@@ -19,6 +19,7 @@
     fence: 1,
     holdMs: 4000,
     handover: undefined,
+    maySend: () => true,
     sameProcess: false,
     onLeaving,
   };
@@ -117,6 +118,26 @@
     raw.close();
   });
 
+  // Guards against two owners of keys: a leader is suspended while the connection
+  // for its grant is opened, and another leader has moved the keys meanwhile.
+  it("sends no grant on a new connection once orders may not be sent", async () => {
+    let requests = 0;
+    const raw = await new RawUpstream((socket) => {
+      requests++;
+      socket.write(ACCEPTED);
+    }).listen();
+    const end = new AbortController();
+    const client = new GrantClient(systemClock, end.signal);
+    const result = await client.grant(
+      { ...order(raw.port), maySend: () => false },
+      AbortSignal.timeout(ORDER_TIMEOUT_MS),
+    );
+    assert.equal(result, "not_sent");
+    assert.equal(requests, 0);
+    end.abort();
+    raw.close();
+  });
+
   // Guards against two owners of keys: an order that has timed out is held up
   // by a partition and delivered after the lease counts as expired.
   for (const path of ["grant", "release"] as const) {
