fix(ranges): wait for own orders until a step-down when leading again

Cause: each term starts with no record of the leases that the VM granted in an earlier one. If another VM has written the lease row since, they are covered, as the row is read later. After a step-down for a request that comes late, or from an earlier successor that has not noticed that it no longer leads, the row is still the VM's own. It is taken at once, and the time of earlier orders is that of the last renewal, although orders were sent for up to 12 s more.

Ruled out by reading: a lease lost to another VM, whose row is read at the loss.

Change: the end of a term is an end of earlier orders.

--- a/src/ranges/leader_lease.ts
+++ b/src/ranges/leader_lease.ts
@@ -477,6 +477,8 @@
   #lose(reason: string): void {
     this.#held = false;
     this.#leaderUnreachable = true;
+    // If this VM leads again, it has forgotten the leases that it granted.
+    this.#raiseUnnamedEnd(this.#opts.clock.now());
     this.#opts.logger.warn(
       { reason, renewalAgeMs: this.renewalAgeMs },
       "leader lease lost",
--- a/tests/ranges/leader_lease_test.ts
+++ b/tests/ranges/leader_lease_test.ts
@@ -293,6 +293,28 @@
     one.stop();
   });
 
+  // Guards against a leader that leads again, without its grants since the last
+  // renewal of the row: a late request of an earlier successor made it step down.
+  it("waits for its own orders until it stepped down if it leads again", async () => {
+    const { clock, store, start, advance } = createRig();
+    const one = start("vm-1");
+    await advance(200);
+    store.fault = "down";
+    await advance(6000);
+    assert.ok(one.lease.maySendOrders);
+    assert.ok(one.lease.stepDown());
+    const steppedDownAt = clock.now();
+    store.fault = "none";
+    await advance(1000);
+    assert.ok(one.lease.held);
+    const endsAt = one.lease.predecessorOrdersEndAt;
+    assert.ok(
+      endsAt >= steppedDownAt,
+      `${steppedDownAt - endsAt} ms too early`,
+    );
+    one.stop();
+  });
+
   // Guards against a lease that nobody renews: the answer to its acquisition
   // arrives once the VM is stopping.
   it("is released if its acquisition is answered during a stop", async () => {
