fix(ranges): send the token of moved keys also while they move on

Cause: unfenced owners of a range got its token only once it had been granted. If its owner is lost meanwhile, the range waits 4 s, or 16 s after a change of the leader, for that one's lease. An unfenced owner that is back in this time can be reached, but gets no token, and accepts an order of a killed leader that is delivered late.

Evidence: service_ranges_test > sends the token of keys that move to u-4 to u-2, which returns failed before: 16384-32767 at u-1 and u-2. Ruled out: that a token sent during the move takes keys from an owner; a listed upstream is neither owner nor previous.

Change: tokens are sent for ranges that are moving as well.

--- a/src/ranges/range_fences.ts
+++ b/src/ranges/range_fences.ts
@@ -59,7 +59,7 @@
   /**
    * Starts the orders of a range that are due.
    *
-   * @param range - a range that has been granted to its owner
+   * @param range - a range, also one that is moving
    * @param signal - cancels the orders
    */
   sendIfDue(range: KeyRange, signal: AbortSignal): void {
--- a/src/ranges/range_orders.ts
+++ b/src/ranges/range_orders.ts
@@ -117,10 +117,8 @@
       const ranges = this.#opts.knownTable()?.document.ranges ?? [];
       for (const range of lease.maySendOrders ? ranges : []) {
         if (range.previous.length > 0) this.#moveIfNotStarted(range, signal);
-        else {
-          this.#renewIfDue(range, signal);
-          this.#fences.sendIfDue(range, signal);
-        }
+        else this.#renewIfDue(range, signal);
+        this.#fences.sendIfDue(range, signal);
       }
       await clock.sleep(CHECK_INTERVAL_MS, signal);
     }
--- a/tests/ranges/service_ranges_test.ts
+++ b/tests/ranges/service_ranges_test.ts
@@ -286,6 +286,39 @@
     });
   }
 
+  // Guards against keys with two owners: the same, but the keys are on their way
+  // from one upstream, which cannot be reached, to another when the late grant is
+  // delivered to an earlier owner.
+  for (const to of ["u-4"]) {
+    it(`sends the token of keys that move to ${to} to u-2, which returns`, async () => {
+      const rig = new RangeRig();
+      const first = await startLeader(rig);
+      rig.upstreams.late.set("vm-1", new Set(["u-2"]));
+      await rig.advance(1400);
+      first.end.abort();
+      const last = rig.addCandidate("vm-2", ["u-1", "u-3"]);
+      rig.upstreams.cutOff.set("vm-2", new Set(["u-2"]));
+      await takeOver(rig, last);
+      last.lease.onEarlierLeaderStopped("vm-1-1");
+      await rig.advance(6000);
+      assert.equal(rig.fractionHeldOnce(), 1);
+      // The owners of the keys can no longer be reached, but run on.
+      rig.upstreams.cutOff.set("vm-2", new Set(["u-1", "u-2", "u-3"]));
+      last.view.removeUpstreams(["u-1", "u-3"]);
+      rig.register(last.view, to);
+      await rig.advance(1000);
+      rig.upstreams.cutOff.set("vm-2", new Set(["u-1", "u-3"]));
+      rig.register(last.view, "u-2");
+      await rig.advance(500);
+      rig.upstreams.deliverLateGrants();
+      assert.deepEqual(rig.upstreams.overlaps, []);
+      await rig.advance(6000);
+      assert.deepEqual(rig.upstreams.overlaps, []);
+      assert.equal(rig.fractionHeldOnce(), 1);
+      last.end.abort();
+    });
+  }
+
   // Guards against a leader that completes a move after its time to send orders
   // has ended, while its successor assigns the same keys.
   it("grants no moved keys once it may send no orders", async () => {
