fix(ranges): send the token of moved keys to an earlier owner that gets them back

Cause: when keys were planned to move back to an unfenced upstream, it was taken off the list, since its own grant carries the token. But that grant waits until the present owner has released the keys or its lease has expired, and until then a late order of a killed leader is accepted by the upstream, while the present owner holds the keys.

Evidence: service_ranges_test > sends the token of keys that move to u-2 to u-2, which returns failed before: 16384-32767 at u-1 and u-2.

Change: the upstream stays listed until it has its grant.

unfenced_owners_test > lose the upstream to which the range moves stated the fault. It is replaced by one that expects the upstream in the list.

--- a/src/ranges/key_range.ts
+++ b/src/ranges/key_range.ts
@@ -14,7 +14,8 @@
  * still hold the keys; the owner is granted them only after those have released
  * them or their leases have expired. `unfenced` lists owners whose leases have
  * expired and that have not received the token of a later owner since: an order
- * sent before may still reach them.
+ * sent before may still reach them. The owner can be one of them until it has its
+ * grant.
  */
 export const KeyRange = z.object({
   first: Key,
--- a/src/ranges/plan_ranges.ts
+++ b/src/ranges/plan_ranges.ts
@@ -314,7 +314,7 @@
       owner,
       fence: this.#nextFence++,
       previous: [...previous, { ...source.owner, fence }],
-      unfenced: unfencedOwners(owner, source.unfenced),
+      unfenced: source.unfenced,
     };
     const left = { ...source, last: first - 1 };
     const right = { ...source, first: last + 1 };
--- a/src/ranges/range_fences.ts
+++ b/src/ranges/range_fences.ts
@@ -56,16 +56,30 @@
     return this.#fences.get(fenceKey(range, owner))?.done === true;
   }
 
+  /**
+   * @param range - a range
+   * @param owner - one of its `unfenced` owners
+   * @returns whether an order to the owner is in flight
+   */
+  isSending(range: KeyRange, owner: Owner): boolean {
+    return this.#fences.get(fenceKey(range, owner))?.inFlight === true;
+  }
+
   /**
    * Starts the orders of a range that are due.
    *
    * @param range - a range, also one that is moving
+   * @param granted - whether the range's owner may have received its grant, so
+   * that an order would take the keys from it
    * @param signal - cancels the orders
    */
-  sendIfDue(range: KeyRange, signal: AbortSignal): void {
+  sendIfDue(range: KeyRange, granted: boolean, signal: AbortSignal): void {
     const now = this.#opts.clock.now();
     for (const owner of range.unfenced ?? []) {
       const key = fenceKey(range, owner);
+      if (granted && incarnationKey(owner) === incarnationKey(range.owner)) {
+        continue;
+      }
       const fence = this.#fences.get(key) ??
         { inFlight: false, nextAttemptAt: now, done: false };
       this.#fences.set(key, fence);
--- a/src/ranges/range_orders.ts
+++ b/src/ranges/range_orders.ts
@@ -58,6 +58,8 @@
   /** Ends of the leases of this VM's grants, by incarnation. */
   readonly #leaseEnds = new LeaseEnds();
   readonly #activeMoves = new Set<number>();
+  /** Fencing tokens of ranges whose new owners may have received a grant. */
+  readonly #grantingMoves = new Set<number>();
   /**
    * Fencing tokens of ranges that their new owners have been granted, and the
    * previous owners whose leases have expired without a release.
@@ -83,18 +85,21 @@
    */
   applyProgress(document: RangeDocument): RangeDocument {
     const ranges = document.ranges.map((range) => {
-      const { owner, previous, unfenced } = range;
+      const { owner, unfenced } = range;
       const expired = this.#completedMoves.get(range.fence);
       const remaining = unfenced?.filter((one) =>
         !this.#fences.isFenced(range, one)
       );
-      if (expired === undefined && remaining?.length === unfenced?.length) {
-        return range;
+      if (expired !== undefined) {
+        return {
+          ...range,
+          previous: [],
+          unfenced: unfencedOwners(owner, remaining, expired),
+        };
       }
-      return {
+      return remaining?.length === unfenced?.length ? range : {
         ...range,
-        previous: expired === undefined ? previous : [],
-        unfenced: unfencedOwners(owner, remaining, expired),
+        unfenced: unfencedOwners(undefined, remaining),
       };
     });
     return ranges.some((range, index) => range !== document.ranges[index])
@@ -118,7 +123,7 @@
       for (const range of lease.maySendOrders ? ranges : []) {
         if (range.previous.length > 0) this.#moveIfNotStarted(range, signal);
         else this.#renewIfDue(range, signal);
-        this.#fences.sendIfDue(range, signal);
+        this.#fences.sendIfDue(range, this.#mayHaveGrant(range), signal);
       }
       await clock.sleep(CHECK_INTERVAL_MS, signal);
     }
@@ -293,6 +298,7 @@
       await this.#opts.clock.sleep(ORDER_RETRY_DELAY_MS, signal);
     } finally {
       this.#activeMoves.delete(range.fence);
+      this.#grantingMoves.delete(range.fence);
     }
   }
 
@@ -314,7 +320,13 @@
       handover = released.handover ?? handover;
       if (released.expired) expired.push(previous);
     }
+    this.#grantingMoves.add(range.fence);
     while (this.#mayOrder(range, signal)) {
+      // A release that arrives after the grant would take the keys again.
+      if (this.#fences.isSending(range, range.owner)) {
+        await clock.sleep(CHECK_INTERVAL_MS, signal);
+        continue;
+      }
       const upstream = view.upstream(range.owner.id);
       if (!isOwner(range, upstream)) return undefined;
       const result = await this.#grant(range, upstream, handover, signal);
@@ -426,6 +438,11 @@
     return this.#opts.holdMs * MAX_CLOCK_SKEW_RATIO + MAX_ORDER_DELAY_MS;
   }
 
+  #mayHaveGrant({ fence, previous }: KeyRange): boolean {
+    return previous.length === 0 || this.#grantingMoves.has(fence) ||
+      this.#completedMoves.has(fence);
+  }
+
   /** Returns whether this VM may still send orders for a moving range. */
   #mayOrder(range: KeyRange, signal: AbortSignal): boolean {
     return !signal.aborted && this.#opts.lease.maySendOrders &&
--- a/src/ranges/unfenced_owners.ts
+++ b/src/ranges/unfenced_owners.ts
@@ -4,19 +4,19 @@
 /**
  * Combines lists of owners that have not received the token of a later owner.
  *
- * @param owner - owner of the range, whose own grant carries the token
+ * @param owner - owner of the range, if it has its grant, which carries the token
  * @param lists - lists to combine
  * @returns each listed incarnation once, without the owner; undefined if there
  * is none
  */
 export function unfencedOwners(
-  owner: KeyRange["owner"],
+  owner: KeyRange["owner"] | undefined,
   ...lists: KeyRange["unfenced"][]
 ): KeyRange["unfenced"] {
   const found = new Map<string, KeyRange["owner"]>();
   for (const { id, incarnation } of lists.flatMap((list) => list ?? [])) {
     found.set(incarnationKey({ id, incarnation }), { id, incarnation });
   }
-  found.delete(incarnationKey(owner));
+  if (owner !== undefined) found.delete(incarnationKey(owner));
   return found.size === 0 ? undefined : [...found.values()];
 }
--- a/tests/ranges/range_fences_test.ts
+++ b/tests/ranges/range_fences_test.ts
@@ -39,7 +39,7 @@
   });
   const advance = async (ms: number) => {
     for (let passed = 0; passed < ms; passed += 100) {
-      fences.sendIfDue(range, rig.end.signal);
+      fences.sendIfDue(range, true, rig.end.signal);
       await rig.clock.advance(100);
     }
   };
@@ -96,6 +96,19 @@
     assert.ok(fences.isFenced(range, owner));
   });
 
+  it("takes no keys from an earlier owner that has been granted them again", async () => {
+    const { rig, sent, fences } = createRig(["u-1"]);
+    const moved = { ...range, owner };
+    fences.sendIfDue(moved, true, rig.end.signal);
+    await rig.clock.advance(1000);
+    assert.equal(sent.length, 0);
+    fences.sendIfDue(moved, false, rig.end.signal);
+    assert.equal(sent.length, 1);
+    assert.ok(fences.isSending(moved, owner));
+    await rig.clock.advance(100);
+    assert.ok(!fences.isSending(moved, owner));
+  });
+
   it("sends nothing to a new process of the earlier owner", async () => {
     const { rig, view, sent, fences, advance } = createRig([]);
     rig.register(view, "u-1", "ready", 2);
--- a/tests/ranges/service_ranges_test.ts
+++ b/tests/ranges/service_ranges_test.ts
@@ -289,7 +289,7 @@
   // Guards against keys with two owners: the same, but the keys are on their way
   // from one upstream, which cannot be reached, to another when the late grant is
   // delivered to an earlier owner.
-  for (const to of ["u-4"]) {
+  for (const to of ["u-4", "u-2"]) {
     it(`sends the token of keys that move to ${to} to u-2, which returns`, async () => {
       const rig = new RangeRig();
       const first = await startLeader(rig);
--- a/tests/ranges/unfenced_owners_test.ts
+++ b/tests/ranges/unfenced_owners_test.ts
@@ -40,10 +40,11 @@
       expected: [lost],
     },
     {
-      name: "lose the upstream to which the range moves",
+      name:
+        "keep the upstream to which the range moves, until it has its grant",
       ranges: [{ ...range(0, LAST_KEY, "u-1"), unfenced: [lost] }],
       upstreams: [upstream("u-1", false), upstream(lost.id)],
-      expected: undefined,
+      expected: [lost],
     },
   ];
   for (const { name, ranges, upstreams, expected } of cases) {
