fix(ranges): release the lease also while a renewal is in flight

Cause: a leader that stops writes its release on the version that it knows. If a renewal is in flight and applied first, the release is a conflict, which was neither repeated nor logged. The row then looks like that of a lost leader: its successor waits for 1.5 s, and for up to 12 s more for the orders of a leader that has ended, so keys of an owner that it cannot reach have none in that time.

Evidence: leader_lease_test > is released while a renewal is in flight failed before. Ruled out: a renewal that is applied after the release; it is a conflict.

Change: after a conflict the row is read, and released if it is still this process's.

--- a/src/ranges/leader_lease.ts
+++ b/src/ranges/leader_lease.ts
@@ -261,18 +261,30 @@
   async release(): Promise<void> {
     this.#released = true;
     if (!this.#held) return;
-    const { store, table, logger } = this.#opts;
-    const version = this.#observed?.version ?? 0;
     const row: LeaseRow = { ...this.#row(), released: true };
     this.#lose("released by this VM");
+    const signal = AbortSignal.timeout(LEASE_TTL_MS);
+    const written = await this.#writeReleased(row, signal);
+    if (written?.kind !== "conflict") return;
+    // A renewal that was in flight may have been applied first.
+    const found = await this.#readRow();
+    if (found === "unknown" || found?.incarnation !== row.incarnation) return;
+    await this.#writeReleased(row, signal);
+  }
+
+  async #writeReleased(row: LeaseRow, signal: AbortSignal) {
+    const { store, table, logger } = this.#opts;
+    const version = this.#observed?.version ?? 0;
     const written = await store.transact({
       expect: [{ table, key: KEY, version }],
       writes: [{ table, key: KEY, value: Buffer.from(JSON.stringify(row)) }],
       remove: [],
-    }, AbortSignal.timeout(LEASE_TTL_MS));
+    }, signal);
     if (written.isErr()) {
       logger.warn({ err: written.error }, "failed to release leader lease");
+      return undefined;
     }
+    return written.value;
   }
 
   #row(): LeaseRow {
--- a/tests/ranges/leader_lease_test.ts
+++ b/tests/ranges/leader_lease_test.ts
@@ -315,6 +315,31 @@
     one.stop();
   });
 
+  // Guards against a successor that waits for a lease, and for orders, that have
+  // ended: a renewal was in flight when the leader released the lease.
+  it("is released while a renewal is in flight", async () => {
+    const { clock, store, start, advance } = createRig();
+    const one = start("vm-1");
+    await advance(200);
+    const transact = store.transact.bind(store);
+    let calls = 0;
+    store.transact = (transaction, signal) => {
+      calls++;
+      const applied = transact(transaction, signal);
+      return new ResultAsync(clock.sleep(100).then(() => applied));
+    };
+    for (let step = 0; step < 20 && calls === 0; step++) await advance(50);
+    assert.equal(calls, 1);
+    void one.lease.release();
+    await advance(400);
+    const two = start("vm-2");
+    await advance(400);
+    assert.ok(two.lease.held);
+    assert.deepEqual(two.lease.activeEarlierLeaders, []);
+    one.stop();
+    two.stop();
+  });
+
   // Guards against a lease that nobody renews: the answer to its acquisition
   // arrives once the VM is stopping.
   it("is released if its acquisition is answered during a stop", async () => {
