fix(soak): deliver bytes, ends and resets of a proxied connection in order

One thing to check was whether its proxy treats a sender that has left like a kernel does.

Cause: it did for the bytes of a sender that had closed or was killed, but a reset passed a silent or slow link at once, so that bytes under way were lost and the target knew of the reset within the partition; the end of one side ended that side at once, through the silence; and with the end of a delay, later bytes (and ends) overtook delayed ones.

Change: one queue for each direction of a connection; half-open connections; the proxy's delays come from a clock that a test can move.

--- a/dev/soak/loopback_proxy.ts
+++ b/dev/soak/loopback_proxy.ts
@@ -1,25 +1,33 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
+import type { Clock } from "../../src/base/clock.ts";
 import { listenOn } from "../standins/listen_on.ts";
+import { hostClock } from "./host_clock.ts";
 import type { LinkFault } from "./link_fault.ts";
+import { ProxiedStream } from "./proxied_stream.ts";
 
-/** Data that a fault holds back; undefined for the end of the stream. */
-type HeldData = { socket: Socket; data: Buffer | undefined };
+type Direction = "to_target" | "to_client";
 
 /** Forwards connections to a loopback port and applies faults to them. */
 export class LoopbackProxy {
   readonly #targetPort: number;
+  readonly #clock: Clock;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
-  /** Data in order of arrival; the next change of the fault forwards it. */
-  #held: HeldData[] = [];
+  readonly #streams = new Map<ProxiedStream, Direction>();
   #fault: LinkFault = { kind: "none" };
 
   /**
    * @param targetPort - loopback port that connections are forwarded to
+   * @param clock - clock of the delays
    */
-  constructor(targetPort: number) {
+  constructor(targetPort: number, clock: Clock = hostClock) {
     this.#targetPort = targetPort;
-    this.#server = createServer((client) => this.#accept(client));
+    this.#clock = clock;
+    // One side's end must not end the other before it is forwarded.
+    this.#server = createServer(
+      { allowHalfOpen: true },
+      (client) => this.#accept(client),
+    );
   }
 
   /**
@@ -36,7 +44,7 @@
   }
 
   /**
-   * Replaces the fault and forwards the data that the earlier one held back.
+   * Replaces the fault and delivers what the earlier one held back.
    *
    * @param fault - fault of open and new connections from now on
    */
@@ -45,61 +53,58 @@
     if (fault.kind === "reset") {
       for (const socket of this.#sockets) socket.resetAndDestroy();
     }
-    const held = this.#held;
-    this.#held = [];
-    for (const { socket, data } of held) {
-      if (data === undefined) socket.end();
-      else socket.write(data);
+    for (const [stream, direction] of this.#streams) {
+      if (this.#delayMs(direction) === Infinity) stream.lose();
+      else stream.recover();
     }
   }
 
   #accept(client: Socket): void {
-    const target = connect(this.#targetPort, "127.0.0.1");
+    if (this.#fault.kind === "reset") {
+      client.resetAndDestroy();
+      return;
+    }
+    const target = connect({
+      port: this.#targetPort,
+      host: "127.0.0.1",
+      allowHalfOpen: true,
+    });
     for (const socket of [client, target]) {
       this.#sockets.add(socket);
       socket.setNoDelay(true);
       // The `close` event resets the other side.
       socket.on("error", () => undefined);
     }
-    if (this.#fault.kind === "reset") client.resetAndDestroy();
     this.#pipe(client, target, "to_target");
     this.#pipe(target, client, "to_client");
   }
 
-  #pipe(from: Socket, to: Socket, direction: "to_target" | "to_client"): void {
-    from.on("data", (data: Buffer) => this.#forward(to, data, direction));
-    from.on("end", () => this.#forward(to, undefined, direction));
+  #pipe(from: Socket, to: Socket, direction: Direction): void {
+    const stream = new ProxiedStream(to, this.#clock);
+    this.#streams.set(stream, direction);
+    to.once("close", () => this.#streams.delete(stream));
+    const send = (content: Parameters<ProxiedStream["send"]>[0]) =>
+      stream.send(content, this.#delayMs(direction));
+    from.on("data", send);
+    from.on("end", () => send("end"));
     from.on("close", (failed) => {
       this.#sockets.delete(from);
-      if (failed) to.resetAndDestroy();
+      if (failed) send("reset");
     });
   }
 
-  #forward(
-    to: Socket,
-    data: Buffer | undefined,
-    direction: "to_target" | "to_client",
-  ): void {
-    const send = () => {
-      if (to.destroyed) return;
-      if (data === undefined) to.end();
-      else to.write(data);
-    };
+  /** Returns the delay of new data in milliseconds; infinite if it is lost. */
+  #delayMs(direction: Direction): number {
     switch (this.#fault.kind) {
       case "none":
       case "reset":
-        send();
-        break;
+        return 0;
       case "delayed":
-        setTimeout(send, this.#fault.ms);
-        break;
+        return this.#fault.ms;
       case "silent":
-        this.#held.push({ socket: to, data });
-        break;
+        return Infinity;
       case "one_way":
-        if (direction === "to_client") this.#held.push({ socket: to, data });
-        else send();
-        break;
+        return direction === "to_client" ? Infinity : 0;
     }
   }
 }
