fix(soak): deliver what a silent link lost with the next retransmission

Cause: at the end of a silence the proxy delivered everything at once: an order that had timed out, and also the release that followed it, which had been sent on a connection opened within the silence. So the upstream held the keys for some milliseconds only. A kernel retransmits at doubling intervals, so that bytes sent before a silence arrive up to as long after it as it has lasted, and it opens no connection in a silence.

Evidence: 3 new tests in loopback_proxy_test.ts failed before (bytes arrived before those of a later connection; they arrived although the link was silent again at the time of their retransmission; those of a connection opened and given up in a silence arrived).

Change: lost bytes wait for the next of the retransmissions after 200, 600, 1400, ... ms, a lost opening for those after 1, 3, 7, ... s. A sender whose connection is opened in a silence still takes it for established; it is dropped when given up.

--- a/dev/soak/loopback_proxy.ts
+++ b/dev/soak/loopback_proxy.ts
@@ -1,4 +1,4 @@
-import { connect, createServer, type Server, type Socket } from "node:net";
+import { createServer, type Server, Socket } from "node:net";
 import type { Clock } from "../../src/base/clock.ts";
 import { listenOn } from "../standins/listen_on.ts";
 import { hostClock } from "./host_clock.ts";
@@ -54,7 +54,10 @@
       for (const socket of this.#sockets) socket.resetAndDestroy();
     }
     for (const [stream, direction] of this.#streams) {
-      if (this.#delayMs(direction) === Infinity) stream.lose();
+      const delayMs = stream.opening
+        ? this.#openDelayMs()
+        : this.#delayMs(direction);
+      if (delayMs === Infinity) stream.lose();
       else stream.recover();
     }
   }
@@ -64,23 +67,20 @@
       client.resetAndDestroy();
       return;
     }
-    const target = connect({
-      port: this.#targetPort,
-      host: "127.0.0.1",
-      allowHalfOpen: true,
-    });
+    const target = new Socket({ allowHalfOpen: true });
     for (const socket of [client, target]) {
       this.#sockets.add(socket);
       socket.setNoDelay(true);
       // The `close` event resets the other side.
       socket.on("error", () => undefined);
     }
-    this.#pipe(client, target, "to_target");
+    const toTarget = this.#pipe(client, target, "to_target");
     this.#pipe(target, client, "to_client");
+    toTarget.send("open", this.#openDelayMs());
   }
 
-  #pipe(from: Socket, to: Socket, direction: Direction): void {
-    const stream = new ProxiedStream(to, this.#clock);
+  #pipe(from: Socket, to: Socket, direction: Direction): ProxiedStream {
+    const stream = new ProxiedStream(to, this.#targetPort, this.#clock);
     this.#streams.set(stream, direction);
     to.once("close", () => this.#streams.delete(stream));
     const send = (content: Parameters<ProxiedStream["send"]>[0]) =>
@@ -89,8 +89,14 @@
     from.on("end", () => send("end"));
     from.on("close", (failed) => {
       this.#sockets.delete(from);
-      if (failed) send("reset");
+      send(failed ? "reset" : "end");
     });
+    return stream;
+  }
+
+  /** A connection is established by packets in both directions. */
+  #openDelayMs(): number {
+    return Math.max(this.#delayMs("to_target"), this.#delayMs("to_client"));
   }
 
   /** Returns the delay of new data in milliseconds; infinite if it is lost. */
--- a/tests/soak/loopback_proxy_test.ts
+++ b/tests/soak/loopback_proxy_test.ts
@@ -206,6 +206,61 @@
     await receives("ab ended");
   });
 
+  it("delivers bytes with the next retransmission, after later connections", async (test) => {
+    const { proxy, clock, connect, receives, staysAt } = await startProxy(test);
+    const first = await connect();
+    first.write("a");
+    await receives("a open");
+    proxy.setFault({ kind: "silent" });
+    first.write("b");
+    await systemClock.sleep(SETTLE_MS);
+    // Retransmitted 200, 600, 1400 and 3000 ms after the bytes were sent.
+    await clock.advance(1500);
+    proxy.setFault({ kind: "none" });
+    const second = await connect();
+    second.write("c");
+    await receives("a open", "c open");
+    await clock.advance(1499);
+    await staysAt("a open", "c open");
+    await clock.advance(1);
+    await receives("ab open", "c open");
+  });
+
+  it("keeps back bytes that were to be retransmitted in another silence", async (test) => {
+    const { proxy, clock, connect, receives, staysAt } = await startProxy(test);
+    const socket = await connect();
+    socket.write("a");
+    await receives("a open");
+    proxy.setFault({ kind: "silent" });
+    socket.write("b");
+    await systemClock.sleep(SETTLE_MS);
+    await clock.advance(1500);
+    proxy.setFault({ kind: "none" });
+    await clock.advance(500);
+    proxy.setFault({ kind: "silent" });
+    await clock.advance(3000);
+    await staysAt("a open");
+    proxy.setFault({ kind: "none" });
+    await clock.advance(1200);
+    await receives("ab open");
+  });
+
+  it("delivers nothing of a connection that was opened and given up in the silence", async (test) => {
+    const { proxy, clock, connect, receives, staysAt } = await startProxy(test);
+    proxy.setFault({ kind: "silent" });
+    const givenUp = await connect();
+    givenUp.write("a");
+    const kept = await connect();
+    kept.write("b");
+    await systemClock.sleep(SETTLE_MS);
+    givenUp.destroy();
+    await staysAt();
+    await clock.advance(2000);
+    proxy.setFault({ kind: "none" });
+    await clock.advance(2000);
+    await receives("b open");
+  });
+
   it("holds back the end of a target with its answer", async (test) => {
     const { proxy, clock, connect, connections, receives, staysAt } =
       await startProxy(test);
