--- a/tests/soak/check_guarantees_test.ts
+++ b/tests/soak/check_guarantees_test.ts
@@ -170,6 +170,16 @@
     },
     broken: undefined,
   },
+  {
+    name: "two owners after a late order with an older token",
+    record: {
+      upstreams: [
+        upstream("a", [granted(0, 1000, 1), granted(2000, 3000, 1)]),
+        upstream("b", [granted(1400, 2400, 2)]),
+      ],
+    },
+    broken: /key 0 held by a and b for 400.0 ms/,
+  },
   {
     name: "an owner that follows after the previous process ended",
     record: {
