feat(soak): hot keys that change, so that keys move all the time

Change: 90% of the requests use 40 adjacent keys, others every 2 s; a request takes 35 ms in place of 25.

--- a/dev/soak/run_upstream.ts
+++ b/dev/soak/run_upstream.ts
@@ -21,7 +21,8 @@
 };
 
 const SLOTS = 3;
-const SERVICE_MS = 25;
+/** Slow enough that hot keys exceed what one upstream can serve. */
+const SERVICE_MS = 35;
 const HEARTBEAT_INTERVAL_MS = 400;
 /** Time from SIGTERM, when it registers as draining, to its exit. */
 const DRAIN_DURATION_MS = 2500;
--- a/dev/soak/soak_callers.ts
+++ b/dev/soak/soak_callers.ts
@@ -21,9 +21,15 @@
  */
 const REQUEST_TIMEOUT_MS = DEADLINE_MS + 2000;
 const MAX_REQUEST_PAUSE_MS = 60;
-/** Half of the requests use one of a few adjacent keys (0 to 39). */
+/**
+ * Many requests use one of a few adjacent keys, and after a while others, so
+ * that keys move to other upstreams all the time.
+ */
 const HOT_KEY_COUNT = 40;
-const HOT_KEY_FRACTION = 0.5;
+const HOT_KEY_FRACTION = 0.9;
+const HOT_KEYS_INTERVAL_MS = 2000;
+/** Spreads the hot keys over all keys. */
+const HOT_KEYS_STRIDE = 25_013;
 const KEY_COUNT = 65_536;
 const NOT_CONNECTED_CODES: readonly (string | undefined)[] = [
   "ECONNREFUSED",
@@ -34,6 +40,8 @@
 /** Callers that each reuse one connection until a request on it fails. */
 export class SoakCallers {
   readonly calls: SoakCall[] = [];
+  /** Whether some keys are hot; if not, the load does not fill any upstream. */
+  hotKeys = true;
   readonly #opts: Options;
   #sentCount = 0;
 
@@ -77,8 +85,11 @@
       connection ??= connectTo(pickRandom(targets()));
       if (connection !== undefined) {
         const path = `${pickRandom(PATH_PREFIXES) ?? "/read/"}x`;
-        const key = Math.random() < HOT_KEY_FRACTION
-          ? Math.floor(Math.random() * HOT_KEY_COUNT)
+        const firstHotKey = HOT_KEYS_STRIDE *
+          Math.floor(clock.now() / HOT_KEYS_INTERVAL_MS);
+        const key = this.hotKeys && Math.random() < HOT_KEY_FRACTION
+          ? (firstHotKey + Math.floor(Math.random() * HOT_KEY_COUNT)) %
+            KEY_COUNT
           : Math.floor(Math.random() * KEY_COUNT);
         const call = await this.#send(connection, path, key);
         if (call.outcome.kind === "failed") {
--- a/dev/soak/soak_run.ts
+++ b/dev/soak/soak_run.ts
@@ -103,6 +103,8 @@
       await this.#applyFault(fault);
     });
     await Promise.all(faults);
+    // An upstream that is full refuses requests; that is not what is checked.
+    this.#callers.hotKeys = false;
     failures.push(...await this.#checkRecovery());
     stop.abort();
     await Promise.all(tasks);
