feat(soak): partitions of failure domains

Cause: it could not play what they need. Faults of links concerned one upstream for all routers, or one router and the store: so no leader reached some upstreams only, and an upstream with a silent link still reached the store, kept its registration and its keys. Routers always reached each other, so that an earlier leader was asked to step down at once.

Change: DomainLinks, a proxy from each failure domain to each router, upstream and the store; a module that routers load redirects their connections to these, and leaves connections opened in a partition without an answer.

--- a/dev/soak/soak_deployment.ts
+++ b/dev/soak/soak_deployment.ts
@@ -2,6 +2,8 @@
 import { RowStoreServer } from "../../platform/standins/row_store_server.ts";
 import { STANDIN_TABLES } from "../../platform/standins/standin_tables.ts";
 import { MemoryRowStore } from "../standins/memory_row_store.ts";
+import { freePorts } from "../deployment/free_ports.ts";
+import { DomainLinks } from "./domain_links.ts";
 import { hostClock } from "./host_clock.ts";
 import { SoakRouter } from "./soak_router.ts";
 import { SoakUpstream } from "./soak_upstream.ts";
@@ -37,6 +39,7 @@
 /** Router and upstream processes of a soak; the store runs in this process. */
 export class SoakDeployment {
   static readonly host = "soak.example";
+  static readonly failureDomains: readonly string[] = FAILURE_DOMAINS;
   readonly #rowStore: MemoryRowStore;
   readonly #stopped = new AbortController();
   /** Version of each registry row, and when it was first seen, by key. */
@@ -48,6 +51,7 @@
     readonly store: RowStoreServer,
     readonly routers: readonly SoakRouter[],
     readonly upstreams: readonly SoakUpstream[],
+    readonly links: DomainLinks,
     rowStore: MemoryRowStore,
   ) {
     this.#rowStore = rowStore;
@@ -64,34 +68,55 @@
     const store = await new RowStoreServer(rowStore).listen();
     const domainAt = (index: number) =>
       FAILURE_DOMAINS[index % FAILURE_DOMAINS.length] ?? "a1";
-    const routers = await Promise.all(
-      Array.from({ length: opts.routers }, (_, index) =>
-        SoakRouter.create({
-          name: `router-${index}`,
-          dir: opts.dir,
-          program: "dist/fescuerun.cjs",
-          failureDomain: domainAt(index),
-          regionOf: REGION_OF_DOMAIN,
-        }, store.port)),
-    );
+    const links = new DomainLinks(FAILURE_DOMAINS, opts.dir);
+    await links.add(store.port);
+    const storePortOf = (domain: string) =>
+      links.linksFrom(domain)[store.port]?.port ?? store.port;
     const upstreams = await Promise.all(
-      Array.from({ length: opts.upstreams }, (_, index) => {
+      Array.from({ length: opts.upstreams }, async (_, index) => {
         const { name, keyed } = SERVICES[index % SERVICES.length] ?? {
           name: "status",
           keyed: false,
         };
-        return SoakUpstream.create({
+        const failureDomain = domainAt(Math.floor(index / SERVICES.length));
+        const upstream = await SoakUpstream.create({
           name: `${name}-${index}`,
           service: name,
           keyed,
-          failureDomain: domainAt(Math.floor(index / SERVICES.length)),
+          failureDomain,
           dir: opts.dir,
           program: "dist/soak.cjs",
-          storePort: store.port,
+          storePort: storePortOf(failureDomain),
         });
+        await links.add(upstream.publicPort, failureDomain);
+        return upstream;
       }),
     );
-    const deployment = new SoakDeployment(store, routers, upstreams, rowStore);
+    const peersPorts = await freePorts(opts.routers);
+    await Promise.all(
+      peersPorts.map((port, index) => links.add(port, domainAt(index))),
+    );
+    const routers = await Promise.all(
+      peersPorts.map((peersPort, index) => {
+        const failureDomain = domainAt(index);
+        return SoakRouter.create({
+          name: `router-${index}`,
+          dir: opts.dir,
+          program: "dist/fescuerun.cjs",
+          failureDomain,
+          regionOf: REGION_OF_DOMAIN,
+          peersPort,
+          links: links.linksFrom(failureDomain),
+        }, storePortOf(failureDomain));
+      }),
+    );
+    const deployment = new SoakDeployment(
+      store,
+      routers,
+      upstreams,
+      links,
+      rowStore,
+    );
     deployment.changeConfig();
     void deployment.#removeExpiredUpstreams();
     for (const upstream of upstreams) upstream.start(true);
@@ -107,6 +132,7 @@
     ]);
     for (const { storeLink } of this.routers) storeLink.close();
     for (const { link } of this.upstreams) link.close();
+    this.links.close();
     this.store.close();
   }
 
--- a/dev/soak/soak_fault.ts
+++ b/dev/soak/soak_fault.ts
@@ -42,6 +42,16 @@
     fault: "busy" | "many" | "reset" | "silent" | "lost";
     durationMs: number;
   }
+  /**
+   * The routers and upstreams of a failure domain reach none of the others, and
+   * not the store either unless it is reachable.
+   */
+  | {
+    kind: "partition";
+    failureDomain: number;
+    storeReachable: boolean;
+    durationMs: number;
+  }
   /** The store discards its change history. */
   | { kind: "history_lost" }
   | { kind: "config_change" };
--- a/dev/soak/soak_plan.ts
+++ b/dev/soak/soak_plan.ts
@@ -3,7 +3,12 @@
 import type { LinkFault } from "./link_fault.ts";
 import type { SoakFault } from "./soak_fault.ts";
 
-type PlanSize = { routers: number; upstreams: number; durationMs: number };
+type PlanSize = {
+  routers: number;
+  upstreams: number;
+  failureDomains: number;
+  durationMs: number;
+};
 type ScheduledFault = { atMs: number; fault: SoakFault };
 
 const MIN_FAULT_INTERVAL_MS = 200;
@@ -16,13 +21,23 @@
  * stricter: no request may fail.
  */
 const PLANNED_ONLY_SEED_INTERVAL = 3;
-const PLANNED_KINDS: readonly SoakFault["kind"][] = [
+/**
+ * Among the others, each second seed has partitions as well, one after another:
+ * keys that change their owners during one often bring out a second owner.
+ */
+const PARTITION_SEED_INTERVAL = 2;
+const MIN_PARTITION_MS = 3000;
+/** Longer than a lease of keys, its slack and the timeout of an order. */
+const MAX_PARTITION_MS = 6000;
+const MIN_PARTITION_PAUSE_MS = 1000;
+const MAX_PARTITION_PAUSE_MS = 3000;
+const PLANNED_KINDS: readonly Exclude<SoakFault["kind"], "partition">[] = [
   "router_stop",
   "router_reload",
   "upstream_drain",
   "config_change",
 ];
-const ALL_KINDS: readonly SoakFault["kind"][] = [
+const RANDOM_KINDS: readonly Exclude<SoakFault["kind"], "partition">[] = [
   ...PLANNED_KINDS,
   "router_pause",
   "router_kill",
@@ -60,10 +75,9 @@
       () => ({ kind: "one_way" }),
       () => ({ kind: "reset" }),
     ])();
-  const kinds = seed % PLANNED_ONLY_SEED_INTERVAL === 0
-    ? PLANNED_KINDS
-    : ALL_KINDS;
-  const faultOf = (kind: SoakFault["kind"]): SoakFault => {
+  const plannedOnly = seed % PLANNED_ONLY_SEED_INTERVAL === 0;
+  const kinds = plannedOnly ? PLANNED_KINDS : RANDOM_KINDS;
+  const faultOf = (kind: typeof kinds[number]): SoakFault => {
     const durationMs = randomBetween(
       MIN_FAULT_DURATION_MS,
       MAX_FAULT_DURATION_MS,
@@ -110,7 +124,23 @@
   let atMs = 0;
   for (;;) {
     atMs += randomBetween(MIN_FAULT_INTERVAL_MS, MAX_FAULT_INTERVAL_MS);
-    if (atMs >= size.durationMs) return plan;
+    if (atMs >= size.durationMs) break;
     plan.push({ atMs, fault: faultOf(pick(kinds)) });
   }
+  if (plannedOnly || seed % PARTITION_SEED_INTERVAL !== 0) return plan;
+  for (atMs = MIN_PARTITION_PAUSE_MS; atMs < size.durationMs;) {
+    const durationMs = randomBetween(MIN_PARTITION_MS, MAX_PARTITION_MS);
+    plan.push({
+      atMs,
+      fault: {
+        kind: "partition",
+        failureDomain: randomBelow(size.failureDomains),
+        storeReachable: randomBelow(2) === 0,
+        durationMs,
+      },
+    });
+    atMs += durationMs +
+      randomBetween(MIN_PARTITION_PAUSE_MS, MAX_PARTITION_PAUSE_MS);
+  }
+  return plan.sort((a, b) => a.atMs - b.atMs);
 }
--- a/dev/soak/soak_router.ts
+++ b/dev/soak/soak_router.ts
@@ -3,6 +3,7 @@
 import { callerProtocol } from "../../platform/standins/caller_protocol.ts";
 import { settingsText } from "../../platform/standins/settings_text.ts";
 import { freePorts } from "../deployment/free_ports.ts";
+import { redirectingProgram } from "./redirecting_program.ts";
 import { ManagedProcess } from "../deployment/managed_process.ts";
 import { LoopbackProxy } from "./loopback_proxy.ts";
 
@@ -12,6 +13,9 @@
   program: string;
   failureDomain: string;
   regionOf: Readonly<Record<string, string>>;
+  peersPort: number;
+  /** Links that lead to other ports, by the latter. */
+  links: Parameters<typeof redirectingProgram>[0];
 };
 
 /** A router of a soak: one process at a time, and its proxy to the store. */
@@ -27,9 +31,16 @@
     private readonly readinessPort: number,
     /** Proxy between the router and the store. */
     readonly storeLink: LoopbackProxy,
-    args: { program: string; settingsFile: string; logFile: string },
+    args: {
+      program: string;
+      settingsFile: string;
+      logFile: string;
+      links: Options["links"];
+    },
   ) {
     this.#process = new ManagedProcess([
+      "--import",
+      redirectingProgram(args.links),
       args.program,
       "serve-on-platform",
       "--settings",
@@ -45,7 +56,7 @@
    * @returns the router, not started
    */
   static async create(opts: Options, storePort: number): Promise<SoakRouter> {
-    const [callers = 0, readiness = 0, peers = 0] = await freePorts(3);
+    const [callers = 0, readiness = 0] = await freePorts(2);
     const storeLink = new LoopbackProxy(storePort);
     const settingsFile = `${opts.dir}/${opts.name}.toml`;
     writeFileSync(
@@ -54,12 +65,13 @@
         vm: opts.name,
         failureDomain: opts.failureDomain,
         regionOf: opts.regionOf,
-        ports: { callers, readiness, peers },
+        ports: { callers, readiness, peers: opts.peersPort },
         storeAddress: `127.0.0.1:${await storeLink.listen()}`,
       }),
     );
     return new SoakRouter(callers, readiness, storeLink, {
       program: opts.program,
+      links: opts.links,
       settingsFile,
       logFile: `${opts.dir}/${opts.name}.log`,
     });
--- a/dev/soak/soak_run.ts
+++ b/dev/soak/soak_run.ts
@@ -95,6 +95,7 @@
     const plan = soakPlan(this.#opts.seed, {
       routers: routers.length,
       upstreams: this.#deployment.upstreams.length,
+      failureDomains: SoakDeployment.failureDomains.length,
       durationMs: this.#opts.durationMs,
     });
     const startedAt = hostClock.now();
@@ -127,7 +128,7 @@
   }
 
   async #applyFault(fault: SoakFault): Promise<void> {
-    const { routers, upstreams, store } = this.#deployment;
+    const { routers, upstreams, links, store } = this.#deployment;
     switch (fault.kind) {
       case "router_pause":
       case "router_kill":
@@ -153,6 +154,17 @@
         this.#faulted.delete(upstream);
         return;
       }
+      case "partition": {
+        const { failureDomain, storeReachable, durationMs } = fault;
+        const domain = SoakDeployment.failureDomains[failureDomain];
+        if (domain === undefined) return;
+        await this.#recordFault(async () => {
+          links.partition(domain, true, storeReachable);
+          await hostClock.sleep(durationMs);
+          links.partition(domain, false, storeReachable);
+        });
+        return;
+      }
       case "idle_connection_reset":
         await this.#recordFault(async () => {
           const set = (forgetsAfterMs: number) =>
--- a/dev/soak/soak_upstream.ts
+++ b/dev/soak/soak_upstream.ts
@@ -26,7 +26,6 @@
 export class SoakUpstream {
   readonly #opts: Options;
   readonly #ports: { own: number; control: number };
-  readonly #publicPort: number;
   readonly #incarnations: Incarnation[] = [];
   #process: ManagedProcess | undefined;
   #id: string;
@@ -35,12 +34,13 @@
     opts: Options,
     /** Proxy between the routers and the upstream. */
     readonly link: LoopbackProxy,
-    ports: { own: number; control: number; public: number },
+    /** Port of that proxy. */
+    readonly publicPort: number,
+    ports: { own: number; control: number },
   ) {
     this.#opts = opts;
     this.#id = opts.name;
     this.#ports = ports;
-    this.#publicPort = ports.public;
   }
 
   /**
@@ -52,7 +52,7 @@
     const [own = 0, control = 0] = await freePorts(2);
     const link = new LoopbackProxy(own);
     const port = await link.listen();
-    return new SoakUpstream(opts, link, { own, control, public: port });
+    return new SoakUpstream(opts, link, port, { own, control });
   }
 
   /**
@@ -79,7 +79,7 @@
         failureDomain,
         keyed,
         port: this.#ports.own,
-        publicPort: this.#publicPort,
+        publicPort: this.publicPort,
         controlPort: this.#ports.control,
         storePort: this.#opts.storePort,
       }),
