--- a/tests/soak/soak_run_test.ts
+++ b/tests/soak/soak_run_test.ts
@@ -8,6 +8,7 @@
 const TEST_TIMEOUT_MS = 120_000;
 const SHORT = { routers: 3, upstreams: 4, callers: 8, durationMs: 8000 };
 const FULL = { routers: 4, upstreams: 6, callers: 16, durationMs: 21_000 };
+const PARTITIONS = { ...FULL, durationMs: 24_000 };
 const CASES: readonly { name: string; seed: number; size: typeof SHORT }[] = [
   { name: "faults", seed: 2, size: SHORT },
   { name: "planned work only", seed: 3, size: SHORT },
@@ -26,6 +27,20 @@
     seed: 3001,
     size: FULL,
   },
+  {
+    // Guards against two owners of a key: the leases that an earlier leader
+    // granted until it stopped are forgotten by its successor.
+    name: "one owner per key after a partition of the leader",
+    seed: 8,
+    size: PARTITIONS,
+  },
+  {
+    // Guards against two owners of a key: an order that has timed out is
+    // delivered after a partition, when its lease counts as expired.
+    name: "one owner per key after a partition of its owner",
+    seed: 10,
+    size: PARTITIONS,
+  },
 ];
 
 describe("a short soak", () => {
