fix(ranges): bound the earlier owners that a range lists

In its trial the row of 188 upstreams and 1,800 ranges with 3 each has 68,260 bytes as base64, above the 64 KiB of the store; no change of owners could be written then.

Change: a range keeps the two most recent ones. Price: an order of an owner before those, sent more than two expired leases ago, may still be accepted.

--- a/src/ranges/unfenced_owners.ts
+++ b/src/ranges/unfenced_owners.ts
@@ -1,12 +1,15 @@
 import { incarnationKey } from "./incarnation_key.ts";
 import type { KeyRange } from "./key_range.ts";
 
+/** Bounds the row of the owners, which the store limits to 64 KiB. */
+const MAX_OWNERS = 2;
+
 /**
  * Combines lists of owners that have not received the token of a later owner.
  *
  * @param owner - owner of the range, if it has its grant, which carries the token
- * @param lists - lists to combine
- * @returns each listed incarnation once, without the owner; undefined if there
+ * @param lists - lists to combine, the most recent owners last
+ * @returns the most recent incarnations, without the owner; undefined if there
  * is none
  */
 export function unfencedOwners(
@@ -18,5 +21,5 @@
     found.set(incarnationKey({ id, incarnation }), { id, incarnation });
   }
   if (owner !== undefined) found.delete(incarnationKey(owner));
-  return found.size === 0 ? undefined : [...found.values()];
+  return found.size === 0 ? undefined : [...found.values()].slice(-MAX_OWNERS);
 }
