refactor(ranges): a union for the registration of an earlier owner

A string or an object stood for three states; now a discriminated union with an exhaustive switch, as elsewhere.

--- a/src/ranges/range_fences.ts
+++ b/src/ranges/range_fences.ts
@@ -18,6 +18,12 @@
   metrics: DirectMetrics;
 };
 type Owner = KeyRange["owner"];
+type Registration =
+  | { kind: "registered"; address: string }
+  /** The process may still run and receive orders. */
+  | { kind: "absent" }
+  /** Another incarnation has replaced it, or it has been absent for long. */
+  | { kind: "ended" };
 /** Progress with one earlier owner of one range; times are monotonic. */
 type Fence = { inFlight: boolean; nextAttemptAt: number; done: boolean };
 
@@ -84,15 +90,18 @@
         { inFlight: false, nextAttemptAt: now, done: false };
       this.#fences.set(key, fence);
       if (fence.done || fence.inFlight || now < fence.nextAttemptAt) continue;
-      const address = this.#addressOf(owner, now);
-      if (address === "ended") fence.done = true;
-      else if (address !== "absent") {
-        void this.#send(
-          fence,
-          range,
-          { ...owner, address: address.value },
-          signal,
-        );
+      const found = this.#find(owner, now);
+      switch (found.kind) {
+        case "registered": {
+          const { address } = found;
+          void this.#send(fence, range, { id: owner.id, address }, signal);
+          break;
+        }
+        case "absent":
+          break;
+        case "ended":
+          fence.done = true;
+          break;
       }
     }
   }
@@ -119,21 +128,18 @@
     }
   }
 
-  #addressOf(
-    owner: Owner,
-    now: number,
-  ): { value: string } | "absent" | "ended" {
+  #find(owner: Owner, now: number): Registration {
     const entry = this.#opts.view.upstream(owner.id)?.entry;
     const key = incarnationKey(owner);
     if (entry === undefined) {
       const since = this.#absentSince.get(key) ?? now;
       this.#absentSince.set(key, since);
-      return now - since < MAX_ORDER_AGE_MS ? "absent" : "ended";
+      return { kind: now - since < MAX_ORDER_AGE_MS ? "absent" : "ended" };
     }
     this.#absentSince.delete(key);
     return entry.incarnation === owner.incarnation
-      ? { value: entry.address }
-      : "ended";
+      ? { kind: "registered", address: entry.address }
+      : { kind: "ended" };
   }
 
   async #send(
