--- a/tests/ranges/leader_lease_test.ts
+++ b/tests/ranges/leader_lease_test.ts
@@ -19,6 +19,7 @@
   const clock = new SuspendedClock();
   const store = new MemoryRowStore(clock);
   const leases: AbortController[] = [];
+  const lines: Parameters<typeof silentLogger>[0] = [];
   const start = (vm: string, incarnation = `${vm}-1`, cores?: number) => {
     const end = new AbortController();
     leases.push(end);
@@ -28,7 +29,7 @@
       self: { vm, incarnation, peerUrl: `http://${vm}` },
       cores,
       clock,
-      logger: silentLogger(),
+      logger: silentLogger(lines),
       signal: end.signal,
     });
     void lease.run();
@@ -44,7 +45,7 @@
       await advance(400);
     }
   };
-  return { clock, store, start, advance, reportUnreachableFor };
+  return { clock, store, start, advance, reportUnreachableFor, lines };
 }
 
 describe("LeaderLease", () => {
@@ -360,6 +361,35 @@
     two.stop();
   });
 
+  // Guards against a timeline with a loss that did not happen: a step-down meets
+  // a renewal that then finds the successor's row.
+  it("logs once that it was lost by a step-down during a renewal", async () => {
+    const { clock, store, start, advance, lines } = createRig();
+    const one = start("vm-1");
+    await advance(200);
+    const transact = store.transact.bind(store);
+    store.transact = (transaction, signal) =>
+      new ResultAsync(
+        clock.sleep(2000).then(() => transact(transaction, signal)),
+      );
+    await advance(2200);
+    store.put(
+      "keeper",
+      "keeper",
+      JSON.stringify({
+        schema: 1,
+        vm: "vm-2",
+        incarnation: "vm-2-1",
+        peerUrl: "http://vm-2",
+      }),
+    );
+    assert.ok(one.lease.stepDown());
+    await advance(1000);
+    const lost = lines.filter(({ args }) => args[1] === "leader lease lost");
+    assert.equal(lost.length, 1);
+    one.stop();
+  });
+
   // Guards against leases that are counted as expired too early: an earlier
   // leader's time to send orders ends just before the lease is acquired.
   it("waits for earlier leaders whose orders end before it is acquired", async () => {
