fix(ranges): average reported slowdowns and keep the relay without a leader

Cause: the leader took the mean of an upstream's average and the newest report, so the chance of the last two reports moved keys between upstreams of equal speed; each move writes the row of owners, which every relay reads. And every VM left its relay when the leader did not answer, so each change then cost a call to the store by each VM.

--- a/src/ranges/range_controller.ts
+++ b/src/ranges/range_controller.ts
@@ -15,6 +15,7 @@
 import { KeyReport } from "./key_report.ts";
 import type { RangeGrants } from "./range_grants.ts";
 import { RegionRelays } from "./region_relays.ts";
+import { ReportedSlowdowns } from "./reported_slowdowns.ts";
 import { ServiceRanges } from "./service_ranges.ts";
 import { StepDownRequest } from "./step_down_request.ts";
 
@@ -82,8 +83,7 @@
   #loads = new Map<string, KeyLoad>();
   /** Slowdowns of upstreams that this VM last reported, by id. */
   readonly #reportedSlowdowns = new Map<string, number>();
-  /** Slowdowns of upstreams that were reported to this VM, by id. */
-  readonly #receivedSlowdowns = new Map<string, number>();
+  readonly #receivedSlowdowns = new ReportedSlowdowns();
   readonly #relays = new RegionRelays();
   /** Interval in milliseconds at which a VM with requests reports. */
   #reportIntervalMs = BUSY_REPORT_INTERVAL_MS;
@@ -212,7 +212,7 @@
       service,
       load: this.#loadOf(service),
       workMs: () => workMs(service),
-      speeds: () => this.#receivedSlowdowns,
+      speeds: () => this.#receivedSlowdowns.averages,
     });
   }
 
@@ -276,10 +276,11 @@
   }
 
   async #sendToLeader(report: Report): Promise<void> {
-    const { lease, peers, signal, logger, relay } = this.#opts;
+    const { lease, peers, signal, logger } = this.#opts;
     const { leaderUrl } = lease;
+    // The relay is kept while there is no leader. If all VMs followed the store
+    // instead, each change would cost as many calls to it as there are VMs.
     if (leaderUrl === undefined) {
-      relay.setRelay(undefined);
       lease.onLeaderUnreachable();
       return;
     }
@@ -295,7 +296,6 @@
         keeperUrl: leaderUrl,
         err: answer.isErr() ? answer.error : undefined,
       }, "leader did not accept the report");
-      relay.setRelay(undefined);
       lease.onLeaderUnreachable();
       return;
     }
@@ -326,16 +326,8 @@
     for (const [service, counts] of Object.entries(report.counts)) {
       this.#loadOf(service).add(counts, now);
     }
-    for (const id of this.#receivedSlowdowns.keys()) {
-      if (view.upstream(id) === undefined) this.#receivedSlowdowns.delete(id);
-    }
-    for (const [id, slowdown] of Object.entries(report.speeds)) {
-      const before = this.#receivedSlowdowns.get(id);
-      this.#receivedSlowdowns.set(
-        id,
-        before === undefined ? slowdown : (before + slowdown) / 2,
-      );
-    }
+    this.#receivedSlowdowns.prune((id) => view.upstream(id) !== undefined);
+    this.#receivedSlowdowns.add(report.speeds);
     for (const { id, incarnation } of report.leaving ?? []) {
       view.onLeaveAnnounced(id, incarnation);
     }
--- a/tests/ranges/range_controller_test.ts
+++ b/tests/ranges/range_controller_test.ts
@@ -58,7 +58,62 @@
   return { rig, lease, end, controller, report };
 }
 
+/** Runs a VM that has read which VM leads, and records the relays it is given. */
+async function createFollowerOf(peers: Peers) {
+  const rig = new RangeRig();
+  const leader = rig.addCandidate("vm-1", []);
+  void leader.lease.run();
+  await rig.advance(500);
+  const { lease, view, end } = rig.addCandidate("vm-2", []);
+  void lease.run();
+  await rig.advance(500);
+  assert.notEqual(lease.leaderUrl, undefined);
+  const relays: (string | undefined)[] = [];
+  const controller = new RangeController({
+    store: rig.store,
+    table: "ranges",
+    self: {
+      vm: "vm-2",
+      incarnation: "vm-2-1",
+      region: "a",
+      peerUrl: "http://vm-2",
+      cores: undefined,
+    },
+    view,
+    lease,
+    grants: rig.upstreams.connectionsOf("vm-2"),
+    peers,
+    relay: { setRelay: (url) => relays.push(url), canRelay: true },
+    workMs: () => 100,
+    clock: rig.clock,
+    logger: silentLogger(),
+    metrics: new DirectMetrics(),
+    holdMs: 4000,
+    signal: end.signal,
+  });
+  void controller.run();
+  return { rig, relays, end: () => [leader.end, end].forEach((e) => e.abort()) };
+}
+
 describe("RangeController", () => {
+  // Guards against a call to the store by every VM for every change while there
+  // is no leader, although the relay is alive.
+  it("keeps its relay while the leader does not answer", async () => {
+    let reports = 0;
+    const { rig, relays, end } = await createFollowerOf({
+      call: ({ result }) =>
+        reports++ === 0
+          ? okAsync(
+            result.parse({ keeper: true, vms: 2, relayUrl: "http://vm-3" }),
+          )
+          : errAsync({ kind: "unreachable", message: "" }),
+    });
+    await rig.advance(4000);
+    assert.ok(reports > 2);
+    assert.deepEqual(new Set(relays), new Set(["http://vm-3"]));
+    end();
+  });
+
   // Guards against two owners: a report that was sent by a process before the
   // earlier leader's, and arrives late, must not end the wait for its orders.
   it("waits for an earlier leader although a report names another process of its VM", async () => {
