fix(direct): keep what is known of an upstream that is registered again

A registry entry that was removed and written again for the same incarnation lost its pause, its requests in flight and its failures. An entry that was read again ended the time for which an upstream of an evacuated domain counts as cold.

Change: removed upstreams are kept for a minute and restored if the same incarnation is registered again; an assumed time of being cold is kept beside the reported one.

--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -43,6 +43,11 @@
  * which it must receive no new work.
  */
 const LEAVE_LATENESS_MS = 1000;
+/**
+ * What is known of a removed upstream is kept for this time, since entries that
+ * lapsed in an outage of the registry are written again soon after it.
+ */
+const REMOVED_RETENTION_MS = 60_000;
 /** Upstreams run for at most some minutes after they have announced to leave. */
 const LEAVE_RETENTION_MS = 600_000;
 /**
@@ -61,6 +66,8 @@
   readonly changed = new ChangeNotifier();
   readonly #opts: Options;
   readonly #upstreams = new Map<string, Upstream>();
+  /** Recently removed upstreams by id, and when they were removed. */
+  readonly #removed = new Map<string, { upstream: Upstream; at: number }>();
   readonly #idleLimit: IdleLimit;
   readonly #missingSince = new Map<string, number>();
   /** Ids in `#missingSince` that get no requests. */
@@ -300,7 +307,7 @@
       const { failureDomain, service } = upstream.entry;
       if (!returned.includes(failureDomain)) continue;
       // Evacuated upstreams may have become cold without reporting it.
-      upstream.warmUp.setColdUntil(
+      upstream.warmUp.assumeColdUntil(
         now + (this.policy(service)?.warmUpMs ?? 0),
         now,
       );
@@ -344,7 +351,7 @@
     const { clock, logger } = this.#opts;
     const drainingSince = this.#leaveCountsFrom(origin);
     const { id, incarnation, service, state, failureDomain } = entry;
-    const known = this.#upstreams.get(id);
+    const known = this.#upstreams.get(id) ?? this.#restore(entry);
     if (this.#missingSince.delete(id)) this.#updateWithheld();
     const same = known?.entry.incarnation === incarnation &&
       known.entry.address === entry.address;
@@ -487,11 +494,36 @@
     };
   }
 
+  /**
+   * Restores a removed upstream with its pause, requests in flight and
+   * estimates. Returns undefined unless the entry is of the same incarnation.
+   */
+  #restore({ id, incarnation, address }: UpstreamEntry): Upstream | undefined {
+    const upstream = this.#removed.get(id)?.upstream;
+    if (
+      upstream?.entry.incarnation !== incarnation ||
+      upstream.entry.address !== address
+    ) return undefined;
+    this.#removed.delete(id);
+    upstream.reopen();
+    this.#upstreams.set(id, upstream);
+    this.#opts.logger.info(
+      { upstream: id, incarnation },
+      "upstream registered again",
+    );
+    return upstream;
+  }
+
   #remove(id: string): void {
     this.#missingSince.delete(id);
     const known = this.#upstreams.get(id);
     if (known === undefined) return;
+    const now = this.#opts.clock.now();
+    for (const [other, { at }] of this.#removed) {
+      if (now - at > REMOVED_RETENTION_MS) this.#removed.delete(other);
+    }
     this.#upstreams.delete(id);
+    this.#removed.set(id, { upstream: known, at: now });
     known.closeWhenReleased();
     this.#opts.logger.info(
       { upstream: id, service: known.entry.service },
--- a/src/direct/upstream.ts
+++ b/src/direct/upstream.ts
@@ -149,6 +149,11 @@
     this.connections.closeWhenReleased();
   }
 
+  /** Keeps idle connections again, as it is registered again. */
+  reopen(): void {
+    this.connections.reopen();
+  }
+
   /** Closes all connections; requests in flight fail. */
   close(): void {
     this.#closing.abort();
--- a/src/direct/warm_up_rate_limiter.ts
+++ b/src/direct/warm_up_rate_limiter.ts
@@ -6,6 +6,8 @@
  */
 export class WarmUpRateLimiter {
   #coldUntil = Number.NEGATIVE_INFINITY;
+  /** Until when the upstream counts as warming up whatever it reports. */
+  #assumedColdUntil = Number.NEGATIVE_INFINITY;
   #coldSince = Number.NEGATIVE_INFINITY;
   #lastSentAt: number | undefined;
   /** Random offset that spreads the VMs' first requests over one interval. */
@@ -19,19 +21,28 @@
    * @param now - monotonic milliseconds
    */
   setColdUntil(until: number, now: number): void {
-    if (!this.isCold(now) && until > now) {
-      this.#coldSince = now;
-      this.#lastSentAt = undefined;
-    }
+    this.#onColdUntil(until, now);
     this.#coldUntil = until;
   }
 
+  /**
+   * Lets the upstream count as cold although it may not report it. Reports of
+   * an earlier time do not shorten this.
+   *
+   * @param until - monotonic milliseconds
+   * @param now - monotonic milliseconds
+   */
+  assumeColdUntil(until: number, now: number): void {
+    this.#onColdUntil(until, now);
+    this.#assumedColdUntil = Math.max(this.#assumedColdUntil, until);
+  }
+
   /**
    * @param now - monotonic milliseconds
    * @returns whether the upstream is cold
    */
   isCold(now: number): boolean {
-    return now < this.#coldUntil;
+    return now < this.#until;
   }
 
   /** @param now - monotonic milliseconds of a request sent */
@@ -54,6 +65,16 @@
     const nextAt = this.#lastSentAt === undefined
       ? this.#coldSince + intervalMs * this.#phase
       : this.#lastSentAt + intervalMs;
-    return Math.max(0, Math.min(this.#coldUntil, nextAt) - now);
+    return Math.max(0, Math.min(this.#until, nextAt) - now);
+  }
+
+  get #until(): number {
+    return Math.max(this.#coldUntil, this.#assumedColdUntil);
+  }
+
+  #onColdUntil(until: number, now: number): void {
+    if (this.isCold(now) || until <= now) return;
+    this.#coldSince = now;
+    this.#lastSentAt = undefined;
   }
 }
--- a/src/upstreams/upstream_connections.ts
+++ b/src/upstreams/upstream_connections.ts
@@ -168,6 +168,11 @@
     for (const { connection } of [...this.#idle]) this.#remove(connection);
   }
 
+  /** Keeps released connections again, after `closeWhenReleased`. */
+  reopen(): void {
+    this.#closing = false;
+  }
+
   /** Closes every connection; requests on them fail. */
   destroyAll(): void {
     for (const connection of this.#all) this.#remove(connection);
