--- a/src/direct/routing_config.ts
+++ b/src/direct/routing_config.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { Route } from "./route.ts";
 import { ServicePolicy } from "./service_policy.ts";
+import { Tenant } from "../tenants/tenant.ts";
 
 /** One version of the configuration that operators write. */
 export const RoutingConfig = z.object({
@@ -12,6 +13,8 @@
    */
   unusableRoutes: z.array(Route.pick({ host: true, prefix: true })),
   services: z.array(ServicePolicy),
+  /** Undefined if requests need no API key. */
+  tenants: z.array(Tenant).optional(),
   requests: z.object({
     maxHeaderBytes: z.number().int().positive(),
     maxBodyBytes: z.number().int().positive(),
--- a/tests/ranges/range_controller_test.ts
+++ b/tests/ranges/range_controller_test.ts
@@ -92,7 +92,11 @@
     signal: end.signal,
   });
   void controller.run();
-  return { rig, relays, end: () => [leader.end, end].forEach((e) => e.abort()) };
+  return {
+    rig,
+    relays,
+    end: () => [leader.end, end].forEach((e) => e.abort()),
+  };
 }
 
 describe("RangeController", () => {
