fix(direct): wait for the request's own key, not for any change

Cause: a wait ended with any change of the view. In a large deployment other upstreams and keys change many times a second, so the four waits passed without the key's owner having changed.

Change: a wait lasts until another choice is possible, at most as long as before.

--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -260,7 +260,7 @@
           return this.#refuse(state, choice);
         case "wait":
           state.steps.push(`wait: ${choice.reason}`);
-          if (!await this.#waitForChange(state, choice.ms, disconnected)) {
+          if (!await this.#waitForChoice(state, choice.ms, disconnected)) {
             return this.#refuse(state, {
               kind: "refuse",
               code: "not_owner",
@@ -370,6 +370,28 @@
       budget.take(state.service);
   }
 
+  /**
+   * Waits until another choice is possible, at most `ms`. In a large deployment,
+   * the view changes many times a second for other reasons. Returns false
+   * without waiting if too little time remains or the request has waited too
+   * often.
+   */
+  async #waitForChoice(
+    state: CallState,
+    ms: number,
+    disconnected: AbortSignal,
+  ): Promise<boolean> {
+    const { clock } = this.#opts;
+    const until = clock.now() + ms;
+    while (await this.#waitForChange(state, until - clock.now(), disconnected)) {
+      if (disconnected.aborted || clock.now() >= until) return true;
+      const choice = this.#choose(state);
+      if (choice.kind !== "wait") return true;
+      if (state.keyed) this.#opts.onStaleOwnership();
+    }
+    return false;
+  }
+
   /**
    * Waits until the view changes, at most `ms`. Returns false without waiting
    * if too little time remains or the request has waited too often.
--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -341,6 +341,40 @@
       assert.equal(refreshes > 0, stale ?? false);
     });
   }
+
+  // Load pattern: keys move in a deployment with 81 upstreams, whose other
+  // changes end each wait at once. Guards against a refusal after four changes
+  // that have nothing to do with the request's key.
+  it("waits for its key although other upstreams change", async () => {
+    const rig = FleetRig.manual();
+    rig.configure([rig.route()], [{ keyed: true }]);
+    rig.view.setRegistry([]);
+    rig.upstream({ id: "u-1" });
+    const moving = { id: "u-2", incarnation: 1, fence: 1 };
+    rig.upstream({ id: "u-2" });
+    rig.owners({ id: "u-1", previous: [moving] });
+    let ended = false;
+    void routerOf(rig, 50).handle({
+      requestId: ID,
+      method: "POST",
+      target: "/a/x",
+      host: "h.example",
+      headers: {},
+      body: undefined,
+      receivedAt: rig.clock.now(),
+      deadlineMs: 4000,
+      key: 7,
+    }, new AbortController().signal).then(() => {
+      ended = true;
+    });
+    for (let change = 0; change < 8; change++) {
+      await rig.clock.advance(40);
+      rig.upstream({ id: "u-3", slots: change + 1 });
+    }
+    assert.equal(ended, false);
+    await rig.clock.advance(3000);
+    assert.equal(ended, true);
+  });
 });
 
 describe("DirectRouter with an owner that resets new connections", () => {
