fix(ranges): assign no keys to cold upstreams while warm ones have room

Cause: an upstream that joins got keys at once. Its limit while cold, 5.8 requests a second, is divided between 79 VMs, so that most VMs may send it nothing at all in its 3 s.

Change: keys go to cold upstreams only if the warm ones would be used above 80% of their capacity.

Result: the test fails before.

--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -383,7 +383,9 @@
   ): Promise<boolean> {
     const { clock } = this.#opts;
     const until = clock.now() + ms;
-    while (await this.#waitForChange(state, until - clock.now(), disconnected)) {
+    while (
+      await this.#waitForChange(state, until - clock.now(), disconnected)
+    ) {
       if (disconnected.aborted || clock.now() >= until) return true;
       const choice = this.#choose(state);
       if (choice.kind !== "wait") return true;
--- a/src/ranges/plan_ranges.ts
+++ b/src/ranges/plan_ranges.ts
@@ -47,6 +47,12 @@
 const MOVE_LIMIT_PER_UPSTREAM = 1 / 4;
 /** The keys of a lost or draining owner move in at most this many pieces. */
 const MAX_PIECES_PER_RANGE = 3;
+/**
+ * Cold upstreams get keys only if the warm ones would be used above this
+ * fraction of their capacity. The limit of a cold upstream is divided between
+ * all VMs, so in a large deployment most of its requests are refused.
+ */
+const MAX_WARM_UTILIZATION = 0.8;
 /** Initial load of a new upstream, as a fraction of the mean load. */
 const NEW_UPSTREAM_FRACTION = 0.5;
 
@@ -129,7 +135,7 @@
   assignToNewUpstreams(): void {
     const usable = this.#usableUpstreams();
     const meanPerS = this.#loads.totalPerS / Math.max(1, usable.length);
-    for (const upstream of usable) {
+    for (const upstream of this.#targets()) {
       if (upstream.rangeCount > 0) continue;
       const donor = this.#mostUtilized();
       if (donor === undefined || donor === upstream) return;
@@ -165,7 +171,7 @@
     // If all upstreams are busy, one below the mean is still a better target.
     const targetUtilization = Math.max(meanUtilization, BUSY_FRACTION);
     const to = leastLoaded(
-      this.#usableUpstreams().filter((upstream) =>
+      this.#targets().filter((upstream) =>
         upstream !== from &&
         upstream.ratePerS < upstream.limitPerS * targetUtilization
       ),
@@ -223,6 +229,18 @@
     return [...this.#upstreams.values()].filter((upstream) => upstream.usable);
   }
 
+  /** Returns the upstreams that may get further keys. */
+  #targets(): UpstreamLoad[] {
+    const usable = this.#usableUpstreams();
+    const warm = usable.filter(({ limitPerS, capacityPerS }) =>
+      limitPerS >= capacityPerS
+    );
+    const warmPerS = warm.reduce((sum, one) => sum + one.capacityPerS, 0);
+    return this.#loads.totalPerS <= warmPerS * MAX_WARM_UTILIZATION
+      ? warm
+      : usable;
+  }
+
   #meanUtilization(): number {
     const capacityPerS = this.#usableUpstreams().reduce(
       (sum, upstream) => sum + upstream.capacityPerS,
@@ -232,7 +250,7 @@
   }
 
   #leastLoaded(): UpstreamLoad {
-    const found = leastLoaded(this.#usableUpstreams());
+    const found = leastLoaded(this.#targets());
     if (found === undefined) throw new Error("no usable upstream for the keys");
     return found;
   }
--- a/tests/ranges/plan_ranges_test.ts
+++ b/tests/ranges/plan_ranges_test.ts
@@ -232,6 +232,24 @@
     assert.ok(planned.ranges.some(({ owner }) => owner.id === "u-04"));
   });
 
+  // Load pattern: upstreams join or are replaced, and are cold at first. In a
+  // deployment of 79 VMs, most requests for the keys of a cold upstream were
+  // refused, since each VM may send it only a small part of its limit.
+  it("assigns no keys to a cold upstream while the warm ones have room", () => {
+    const document = assignInitially(createUpstreams(4));
+    const cold = createUpstreams(5).map((upstream) =>
+      upstream.id === "u-04" ? { ...upstream, limitPerS: 2 } : upstream
+    );
+    const rates = hotKeys(12, 0, 0);
+    assert.equal(
+      planRanges({ document, upstreams: cold, rates })?.ranges
+        .some(({ owner }) => owner.id === "u-04") ?? false,
+      false,
+    );
+    const warm = planRanges({ document, upstreams: createUpstreams(5), rates });
+    assert.ok(warm?.ranges.some(({ owner }) => owner.id === "u-04"), "no keys");
+  });
+
   // Load pattern: a cold upstream fails under its full share of the load.
   it("assigns a cold upstream no more load than its limit", () => {
     const document = assignInitially(createUpstreams(4));
