feat(ranges): limit requests for the keys of overloaded owners

Cause: a VM gets an answer of one key owner every few seconds in a large deployment, so it cannot know the owner's queue.

Change: the leader knows the request rate of each key and the capacity of each owner.

--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -78,8 +78,8 @@
   #config: RoutingConfig | undefined;
   #matcher = new RouteMatcher([]);
   #policies = new Map<string, ServicePolicy>();
-  /** Priority number of the most urgent route of each service. */
-  #minPriorities = new Map<string, number>();
+  /** Priority numbers of the routes of each service. */
+  #priorities = new Map<string, number[]>();
   /** Evacuated failure domains, with the time from which that counts. */
   #evacuated: ReadonlyMap<string, number> = new Map();
   #registryRead = false;
@@ -245,7 +245,19 @@
    * @returns whether another route of the service is more urgent
    */
   isLessUrgent(service: string, priority: number): boolean {
-    return priority > (this.#minPriorities.get(service) ?? priority);
+    return this.#priorities.get(service)?.some((other) => other < priority) ??
+      false;
+  }
+
+  /**
+   * @param service - name of a service
+   * @param priority - priority number of one of its routes
+   * @returns whether no route of the service is more urgent, and some are less
+   */
+  isMoreUrgent(service: string, priority: number): boolean {
+    const all = this.#priorities.get(service) ?? [];
+    return all.every((other) => other >= priority) &&
+      all.some((other) => other > priority);
   }
 
   /**
@@ -276,7 +288,7 @@
     this.#policies = new Map(
       config.services.map((policy) => [policy.name, policy]),
     );
-    this.#minPriorities = minPriorities(config);
+    this.#priorities = prioritiesByService(config);
     this.#opts.logger.info({
       before,
       version: config.version,
@@ -533,12 +545,14 @@
   }
 }
 
-function minPriorities(config: RoutingConfig): Map<string, number> {
-  const lowest = new Map<string, number>();
+function prioritiesByService(config: RoutingConfig): Map<string, number[]> {
+  const priorities = new Map<string, number[]>();
   for (const { parts, priority } of config.routes) {
     for (const { service } of parts) {
-      lowest.set(service, Math.min(priority, lowest.get(service) ?? priority));
+      const known = priorities.get(service) ?? [];
+      if (!known.includes(priority)) known.push(priority);
+      priorities.set(service, known);
     }
   }
-  return lowest;
+  return priorities;
 }
--- a/src/ranges/plan_ranges.ts
+++ b/src/ranges/plan_ranges.ts
@@ -62,10 +62,12 @@
   readonly #upstreams: Map<string, UpstreamLoad>;
   #ranges: KeyRange[];
   #nextFence: number;
+  readonly #before: RangeDocument | undefined;
   changed = false;
 
   constructor({ document, upstreams, rates }: PlanInput) {
     this.#loads = new RangeLoads(rates);
+    this.#before = document;
     this.#ranges = [...document?.ranges ?? []];
     this.#nextFence = document?.nextFence ?? 1;
     this.#upstreams = new Map(
@@ -75,7 +77,12 @@
   }
 
   get document(): RangeDocument {
-    return { schema: 1, nextFence: this.#nextFence, ranges: this.#ranges };
+    return {
+      ...this.#before,
+      schema: 1,
+      nextFence: this.#nextFence,
+      ranges: this.#ranges,
+    };
   }
 
   /** Assigns all keys in proportion to capacity if none are assigned yet. */
--- a/src/ranges/service_ranges.ts
+++ b/src/ranges/service_ranges.ts
@@ -6,13 +6,14 @@
 import type { RowStore } from "../rows/row_store.ts";
 import { encodeRangeDocument } from "./encode_range_document.ts";
 import type { LeaderLease } from "./leader_lease.ts";
-import type { KeyLoad } from "./key_load.ts";
+import { KeyLoad } from "./key_load.ts";
 import { planRanges } from "./plan_ranges.ts";
 import type { RangeDocument } from "./range_document.ts";
 import type { RangeGrants } from "./range_grants.ts";
 import { RangeOrders } from "./range_orders.ts";
 import { RangeTable } from "./range_table.ts";
 import { readRangeTable } from "./read_range_table.ts";
+import { withAdmission } from "./with_admission.ts";
 
 type Options = {
   service: string;
@@ -185,8 +186,25 @@
             : capacityPerS,
         };
       });
-    const planned = planRanges({ document, upstreams, rates: load.rates(now) });
-    if (planned === undefined) return undefined;
+    const rates = load.rates(now);
+    const planned = planRanges({ document, upstreams, rates });
+    if (planned !== undefined) this.#logMoves(planned);
+    const admitted = withAdmission(planned ?? document, {
+      upstreams,
+      rates,
+      sampleS: KeyLoad.sampleS,
+    });
+    if (admitted.admission !== document.admission) {
+      logger.info(
+        { service, before: document.admission, admission: admitted.admission },
+        "admission to overloaded key owners changed",
+      );
+    }
+    return admitted === document ? undefined : admitted;
+  }
+
+  #logMoves(planned: RangeDocument): void {
+    const { service, logger } = this.#opts;
     logger.info({
       service,
       version: this.#table?.version,
@@ -200,6 +218,5 @@
           from: previous.map(({ id }) => id),
         })),
     }, "key owners planned");
-    return planned;
   }
 }
