--- a/dev/standins/memory_row_store.ts
+++ b/dev/standins/memory_row_store.ts
@@ -11,11 +11,18 @@
 /** Time after which a call under the fault `silent` fails. */
 const SILENT_CALL_TIMEOUT_MS = 1500;
 
+/** What the store holds at one time. */
+type Copy = {
+  rows: ReadonlyMap<string, Row>;
+  version: number;
+  changes: readonly { table: string; change: RowChange }[];
+};
+
 /** Row store in memory that can simulate the faults of the real store. */
 export class MemoryRowStore implements RowStore {
   readonly #clock: Clock;
   readonly rows = new Map<string, Row>();
-  readonly #changes: { table: string; change: RowChange }[] = [];
+  #changes: { table: string; change: RowChange }[] = [];
   readonly #changeNotifier = new ChangeNotifier();
   #version = 0;
   /**
@@ -34,6 +41,9 @@
     this.#clock = clock;
   }
 
+  /** Increases by one each time the store is restored from a copy. */
+  era = 0;
+
   /**
    * @returns version of the newest change
    */
@@ -65,6 +75,7 @@
       rows,
       version: this.#version,
       asOf: this.#clock.now(),
+      era: this.era,
     });
   }
 
@@ -74,12 +85,38 @@
   ): ReturnType<RowStore["waitForChanges"]> {
     const fault = this.#faultResult<never>(signal);
     if (fault !== undefined) return fault;
-    if (query.after < this.forgotten) {
+    if (query.after < this.forgotten || query.after > this.#version) {
       return errAsync({ kind: "history_lost", message: "forgotten" });
     }
     return new ResultAsync(this.#waitForTable(query, signal));
   }
 
+  /**
+   * @returns a copy of the rows and the change history
+   */
+  copy(): Copy {
+    return {
+      rows: new Map(this.rows),
+      version: this.#version,
+      changes: [...this.#changes],
+    };
+  }
+
+  /**
+   * Goes back to a copy and starts the next era. Versions after that of the copy
+   * are assigned again.
+   *
+   * @param copy - what the store held before
+   */
+  restore({ rows, version, changes }: Copy): void {
+    this.rows.clear();
+    for (const [id, row] of rows) this.rows.set(id, row);
+    this.#version = version;
+    this.#changes = [...changes];
+    this.era++;
+    this.#changeNotifier.notify();
+  }
+
   /** Writes a row unconditionally. */
   put(table: string, key: string, value: string): void {
     this.#apply({
@@ -115,6 +152,7 @@
       changes: changesAfter(),
       version: this.#version,
       asOf: this.#clock.now(),
+      era: this.era,
     });
   }
 
@@ -138,7 +176,9 @@
 
   #apply(
     { expect, writes, remove }: RowTransaction,
-  ): { kind: "applied"; version: number } | { kind: "conflict"; rows: Row[] } {
+  ):
+    | { kind: "applied"; version: number; era: number }
+    | { kind: "conflict"; rows: Row[]; era: number } {
     const rowId = (row: { table: string; key: string }) =>
       `${row.table}\u0000${row.key}`;
     const conditionsHold = expect.every((row) =>
@@ -149,6 +189,7 @@
         kind: "conflict",
         rows: expect.map((row) => this.rows.get(rowId(row)))
           .filter((row) => row !== undefined),
+        era: this.era,
       };
     }
     const version = ++this.#version;
@@ -165,7 +206,7 @@
       this.#changes.push({ table, change: { kind: "removed", key, version } });
     }
     this.#changeNotifier.notify();
-    return { kind: "applied", version };
+    return { kind: "applied", version, era: this.era };
   }
 }
 
--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -10,6 +10,8 @@
 import { RangeController } from "../ranges/range_controller.ts";
 import type { RangeGrants } from "../ranges/range_grants.ts";
 import { readRangeTable } from "../ranges/read_range_table.ts";
+import type { Row } from "../rows/row.ts";
+import type { RowOrigin } from "../rows/row_origin.ts";
 import type { RowStore } from "../rows/row_store.ts";
 import { followTimesFor } from "../rows/follow_times_for.ts";
 import { TableFollower } from "../rows/table_follower.ts";
@@ -390,16 +392,16 @@
 
   #rangeSource(): RowSource {
     const { logger } = this.#opts;
-    const apply = (row: Parameters<typeof readRangeTable>[0]) => {
-      const table = readRangeTable(row, logger);
+    const apply = (row: Row, origin: RowOrigin) => {
+      const table = readRangeTable(row, logger, origin.era);
       if (table !== undefined) this.#view.setRanges(row.key, table);
     };
     return {
       table: RANGES_TABLE,
-      onSnapshot: (rows) => rows.forEach(apply),
-      onChanges: (changes) => {
+      onSnapshot: (rows, origin) => rows.forEach((row) => apply(row, origin)),
+      onChanges: (changes, origin) => {
         for (const change of changes) {
-          if (change.kind === "written") apply(change.row);
+          if (change.kind === "written") apply(change.row, origin);
         }
       },
     };
--- a/src/direct/direct_metrics.ts
+++ b/src/direct/direct_metrics.ts
@@ -72,6 +72,12 @@
     labelNames: ["table"] as const,
     registers: [this.registry],
   });
+  /** How often the store was restored from an older copy. */
+  readonly storeRestores = new Counter({
+    name: "fescuerun_store_restores_total",
+    help: "Restores of the store from an older copy that this VM has noticed.",
+    registers: [this.registry],
+  });
   /** How often a table exceeded the time in which changes must be in force. */
   readonly overdueTables = new Counter({
     name: "fescuerun_tables_overdue_total",
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -70,11 +70,18 @@
   readonly #removed = new Map<string, { upstream: Upstream; at: number }>();
   readonly #idleLimit: IdleLimit;
   readonly #missingSince = new Map<string, number>();
+  /**
+   * Ids in `#missingSince` whose entries a restored registry lacks. They were
+   * registered after the copy was taken, so they are likely to be running.
+   */
+  readonly #unrestored = new Set<string>();
   /** Ids in `#missingSince` that get no requests. */
   #withheld: ReadonlySet<string> = new Set();
   /** Incarnations that have announced in an answer to leave, by id. */
   readonly #leaving = new Map<string, { incarnation: number; at: number }>();
   readonly #ranges = new Map<string, RangeTable>();
+  /** Highest `nextFence` that has been read in any era, by service. */
+  readonly #nextFences = new Map<string, number>();
   #config: RoutingConfig | undefined;
   #matcher = new RouteMatcher([]);
   #policies = new Map<string, ServicePolicy>();
@@ -170,6 +177,15 @@
     return this.#ranges.get(service);
   }
 
+  /**
+   * @param service - name of a service
+   * @returns a fencing token above all that this VM has read of, also in earlier
+   * eras of the store
+   */
+  nextFence(service: string): number {
+    return this.#nextFences.get(service) ?? 1;
+  }
+
   /**
    * @param domain - a failure domain
    * @returns its region, or the domain's own name if the region is not known
@@ -322,14 +338,24 @@
   /**
    * @param service - name of a service
    * @param table - owners of its keys; ignored unless newer than the present
-   * one
+   * one. A later era of the store is newer than each version of an earlier one
    */
   setRanges(service: string, table: RangeTable): void {
+    const { nextFence } = table.document;
+    this.#nextFences.set(
+      service,
+      Math.max(this.#nextFences.get(service) ?? 0, nextFence),
+    );
     const before = this.#ranges.get(service);
-    if (before !== undefined && table.version <= before.version) return;
+    if (before !== undefined && !isNewer(table, before)) return;
     this.#ranges.set(service, table);
     this.#opts.logger.info(
-      { service, version: table.version, ranges: table.document.ranges.length },
+      {
+        service,
+        era: table.era,
+        version: table.version,
+        ranges: table.document.ranges.length,
+      },
       "key owners changed",
     );
     this.changed.notify();
@@ -352,6 +378,7 @@
     const drainingSince = this.#leaveCountsFrom(origin);
     const { id, incarnation, service, state, failureDomain } = entry;
     const known = this.#upstreams.get(id) ?? this.#restore(entry);
+    this.#unrestored.delete(id);
     if (this.#missingSince.delete(id)) this.#updateWithheld();
     const same = known?.entry.incarnation === incarnation &&
       known.entry.address === entry.address;
@@ -387,14 +414,17 @@
    *
    * @param ids - upstreams whose registry entries one answer of the registry
    * reported as removed
+   * @param origin - how that was read; entries that a restored registry lacks
+   * are kept whatever their number
    */
-  removeUpstreams(ids: readonly string[]): void {
+  removeUpstreams(ids: readonly string[], origin?: RowOrigin): void {
     const { clock, logger } = this.#opts;
     const now = clock.now();
     const known = ids.filter((id) => this.#upstreams.has(id));
     const mayHaveLapsed =
       now < this.#registryReconnectedAt + REGISTRY_RECOVERY_MS &&
-      known.length > this.#upstreams.size * MAX_DEREGISTERED_FRACTION;
+      (origin?.restored === true ||
+        known.length > this.#upstreams.size * MAX_DEREGISTERED_FRACTION);
     if (mayHaveLapsed) {
       logger.warn(
         { missing: known },
@@ -404,6 +434,7 @@
     for (const id of known) {
       if (mayHaveLapsed) this.#missingSince.set(id, now);
       else this.#remove(id);
+      if (origin?.restored === true) this.#unrestored.add(id);
     }
     this.#updateWithheld();
   }
@@ -425,10 +456,17 @@
    * @param origin - how they were read
    */
   setRegistry(entries: readonly UpstreamEntry[], origin?: RowOrigin): void {
-    const present = new Set(entries.map((entry) => entry.id));
-    for (const entry of entries) this.setUpstream(entry, origin);
+    // A restored row of an earlier incarnation counts as missing.
+    const current = origin?.restored === true
+      ? entries.filter(({ id, incarnation }) =>
+        incarnation >= (this.#upstreams.get(id)?.entry.incarnation ?? 0)
+      )
+      : entries;
+    const present = new Set(current.map((entry) => entry.id));
+    for (const entry of current) this.setUpstream(entry, origin);
     this.removeUpstreams(
       [...this.#upstreams.keys()].filter((id) => !present.has(id)),
+      origin,
     );
     this.#registryRead = true;
     this.changed.notify();
@@ -450,7 +488,7 @@
     const counts = new Map<string, number>();
     for (const [id, { entry: { service } }] of this.#upstreams) {
       counts.set(service, (counts.get(service) ?? 0) + 1);
-      if (!this.#missingSince.has(id)) continue;
+      if (!this.#missingSince.has(id) || this.#unrestored.has(id)) continue;
       missing.set(service, [...missing.get(service) ?? [], id]);
     }
     this.#withheld = new Set(
@@ -516,6 +554,7 @@
 
   #remove(id: string): void {
     this.#missingSince.delete(id);
+    this.#unrestored.delete(id);
     const known = this.#upstreams.get(id);
     if (known === undefined) return;
     const now = this.#opts.clock.now();
@@ -533,6 +572,12 @@
   }
 }
 
+function isNewer(table: RangeTable, before: RangeTable): boolean {
+  return table.era === before.era
+    ? table.version > before.version
+    : table.era > before.era;
+}
+
 function minPriorities(config: RoutingConfig): Map<string, number> {
   const lowest = new Map<string, number>();
   for (const { parts, priority } of config.routes) {
--- a/src/ranges/leader_lease.ts
+++ b/src/ranges/leader_lease.ts
@@ -30,6 +30,13 @@
     .max(MAX_NAMED_LEADERS).optional(),
   /** The same time for leaders that `earlierLeaders` does not name. */
   unnamedOrdersMs: ordersMs.optional(),
+  /** The same time for leaders whose rows a restore of the store has lost. */
+  lostOrdersMs: ordersMs.optional(),
+  /**
+   * Era of the store for which the row was written; absent in era 0. A row read
+   * in a later era comes from an older copy, and later leaders may be unknown.
+   */
+  era: z.number().int().nonnegative().optional(),
 });
 type LeaseRow = z.infer<typeof LeaseRow>;
 type Options = {
@@ -49,6 +56,8 @@
 type ObservedRow = {
   row: LeaseRow | undefined;
   version: number;
+  /** Era of the store to which the version belongs. */
+  era: number;
   /** Monotonic milliseconds at which this version was first read. */
   firstReadAt: number;
 };
@@ -58,6 +67,11 @@
 const RENEW_INTERVAL_MS = 500;
 /** A leader that has not renewed its row for this long is considered lost. */
 const LEASE_TTL_MS = 1500;
+/**
+ * The same for a row that a restore has brought back. The leader's first call to
+ * the restored store may have to wait for the timeout of the one before (1.5 s).
+ */
+const RESTORED_LEASE_TTL_MS = 3500;
 /** The leader of 90 VMs uses up to 0.27 cores. */
 const MIN_LEADER_CORES = 0.4;
 /**
@@ -105,6 +119,14 @@
    * contain send no orders. The leases that they granted may last longer.
    */
   #unnamedLeadersEndAt = Number.NEGATIVE_INFINITY;
+  /** The same for leaders whose rows a restore of the store may have lost. */
+  #lostLeadersEndAt = Number.NEGATIVE_INFINITY;
+  /** Era of the row that this VM writes; undefined unless it leads. */
+  #heldEra: number | undefined;
+  /** Era in which a write of the row was last acknowledged. */
+  #confirmedEra: number | undefined;
+  /** Era of the first response that this VM has read. */
+  #firstEra: number | undefined;
 
   /**
    * @param opts - the store, and how this VM identifies itself in the row
@@ -123,10 +145,10 @@
 
   /**
    * @returns whether this VM is the leader and has renewed the lease within its
-   * TTL; if not, another VM that reaches the store may have acquired it
+   * TTL and in the store's present era; if not, another VM that reaches the store may have acquired it
    */
   get confirmed(): boolean {
-    return this.maySendOrders &&
+    return this.maySendOrders && this.#confirmedEra === this.era &&
       this.#opts.clock.now() - this.#confirmedAt < LEASE_TTL_MS;
   }
 
@@ -153,6 +175,21 @@
     );
   }
 
+  /**
+   * @returns monotonic milliseconds after which no leader sends orders whose
+   * writes the store may have lost in a restore; -Infinity if there was none
+   */
+  get lostOrdersEndAt(): number {
+    return this.#lostLeadersEndAt;
+  }
+
+  /**
+   * @returns era of the store as of the last read or write of the row
+   */
+  get era(): number {
+    return this.#observed?.era ?? 0;
+  }
+
   /**
    * @returns milliseconds since the start of the last renewal of the lease
    */
@@ -309,6 +346,10 @@
           ordersMs: remainingMs(ordersEndAt),
         })),
       unnamedOrdersMs: remainingMs(unnamedEndsAt),
+      ...(now < this.#lostLeadersEndAt
+        ? { lostOrdersMs: remainingMs(this.#lostLeadersEndAt) }
+        : {}),
+      ...(this.era > 0 ? { era: this.era } : {}),
     };
   }
 
@@ -331,14 +372,24 @@
     const outcome = await this.#write(this.#observed?.version ?? 0);
     switch (outcome.kind) {
       case "applied":
+        // In a later era, the replaced row may have been another one.
+        if (this.#heldEra !== outcome.era) {
+          await this.#renewRestored();
+          return;
+        }
         this.#confirmedAt = startedAt;
+        this.#confirmedEra = outcome.era;
         this.#offsetAtRenewalMs = clockOffsetMs;
         return;
       case "conflict": {
         // An earlier renewal whose response was lost may have been applied.
         const row = await this.#readRow();
-        if (row === "unknown") return;
-        if (this.#held && row?.incarnation !== this.#opts.self.incarnation) {
+        if (row === "unknown" || !this.#held) return;
+        if (this.#heldEra !== this.era) {
+          await this.#renewRestored();
+          return;
+        }
+        if (row?.incarnation !== this.#opts.self.incarnation) {
           this.#lose("another VM holds it");
         }
         return;
@@ -348,6 +399,43 @@
     }
   }
 
+  /**
+   * Renews the lease for the first time in a later era of the store, or loses it
+   * if another VM may have acquired it.
+   */
+  async #renewRestored(): Promise<void> {
+    const { clock, self, logger } = this.#opts;
+    const observed = this.#observed;
+    if (!this.#held || observed === undefined) return;
+    const unconfirmedMs = clock.now() - this.#confirmedAt;
+    // Until its TTL has passed, no other VM can have acquired the lease.
+    const isSole = unconfirmedMs < LEASE_TTL_MS;
+    const isOwn = observed.row?.incarnation === self.incarnation;
+    // Afterwards, a successor may wait for the orders of this VM to end, and
+    // then grant keys of which this VM knows nothing.
+    const mayClaim = this.#isRestored(observed) &&
+      (isSole || (isOwn && unconfirmedMs < ORDER_GRACE_MS));
+    if (!mayClaim) {
+      this.#lose("the store was restored, and another VM may hold it");
+      return;
+    }
+    // The rows of a VM that has acquired it since may be lost.
+    if (!isSole) this.#raiseLostEnd(clock.now() + ORDER_GRACE_MS);
+    const { era } = observed;
+    logger.warn(
+      { before: this.#heldEra, era, renewalAgeMs: this.renewalAgeMs, isSole },
+      "store was restored; writing the leader lease again",
+    );
+    this.#heldEra = era;
+    await this.#renew();
+  }
+
+  /** Returns whether a row, or its absence, is from before a restore. */
+  #isRestored({ row, version, era }: ObservedRow): boolean {
+    // A VM that finds no row in the first era it sees is the first to start.
+    return version === 0 ? era !== this.#firstEra : (row?.era ?? 0) !== era;
+  }
+
   /** Returns whether this VM acquired the lease. */
   async #tryAcquire(): Promise<boolean> {
     const { clock, self, logger } = this.#opts;
@@ -358,7 +446,9 @@
     // A row that another writer has spoiled may have a leader.
     const isSpoiled = row === undefined && observed.version > 0;
     const isHeld = isSpoiled || (row !== undefined && row.released !== true);
-    if (isHeld && before?.version !== observed.version) {
+    const isUnchanged = before?.version === observed.version &&
+      before.era === observed.era;
+    if (isHeld && !isUnchanged) {
       // The leader has written its row since the last read.
       this.#leaderUnreachable = false;
       if (before?.row?.incarnation !== row?.incarnation) {
@@ -371,18 +461,24 @@
     }
     const isOwnVm = row?.vm === self.vm;
     const ended = !isHeld || isOwnVm;
+    const ttlMs = ended ? 0 : LEASE_TTL_MS;
     const expired = clock.now() - observed.firstReadAt >=
-      (ended ? 0 : LEASE_TTL_MS) + this.#standbyDelayMs();
+      (this.#isRestored(observed) ? RESTORED_LEASE_TTL_MS : ttlMs) +
+        this.#standbyDelayMs();
     if (!expired || this.#released) return false;
     this.#recordEarlierLeaders(observed, ended);
     const startedAt = clock.now();
     const clockOffsetMs = this.#clockOffsetMs();
     const outcome = await this.#write(observed.version);
     if (outcome.kind !== "applied") return false;
+    // The replaced row may be another one; the next attempt reads this VM's own.
+    if (outcome.era !== observed.era) return false;
     this.#held = true;
+    this.#heldEra = outcome.era;
     this.#leaderUnreachable = false;
     // A successor counts from the write, which the answer may follow late.
     this.#confirmedAt = startedAt;
+    this.#confirmedEra = outcome.era;
     this.#offsetAtRenewalMs = clockOffsetMs;
     // The predecessor may have renewed the lease until this write.
     this.#recordEarlierLeaders(observed, ended);
@@ -408,11 +504,17 @@
    * @param ended - whether the leader in the row sends no more orders
    */
   #recordEarlierLeaders(
-    { row, version, firstReadAt }: ObservedRow,
+    observed: ObservedRow,
     ended: boolean,
   ): void {
+    const { row, version, firstReadAt } = observed;
     const { clock, self } = this.#opts;
     const now = clock.now();
+    // Leaders whose rows are lost renewed the lease before the restore.
+    const lostMs = this.#isRestored(observed)
+      ? ORDER_GRACE_MS
+      : row?.lostOrdersMs;
+    if (lostMs !== undefined) this.#raiseLostEnd(firstReadAt + lostMs);
     const isSpoiled = row === undefined && version > 0;
     // Earlier versions of this program name no earlier leaders.
     const unnamedMs = isSpoiled
@@ -453,15 +555,20 @@
       logger.error({ version: found.version }, "leader lease row is malformed");
     }
     const version = found?.version ?? 0;
-    if (this.#observed?.version !== version) {
-      this.#observed = { row, version, firstReadAt: clock.now() };
+    const { era } = read.value;
+    if (era < this.era) return "unknown";
+    this.#firstEra ??= era;
+    if (this.#observed?.version !== version || this.#observed.era !== era) {
+      this.#observed = { row, version, era, firstReadAt: clock.now() };
     }
     return row;
   }
 
   async #write(
     version: number,
-  ): Promise<{ kind: "applied" | "conflict" | "unknown" }> {
+  ): Promise<
+    { kind: "applied"; era: number } | { kind: "conflict" | "unknown" }
+  > {
     const { store, table, clock, signal, logger } = this.#opts;
     const row = this.#row();
     const outcome = await store.transact({
@@ -477,9 +584,15 @@
     this.#observed = {
       row,
       version: outcome.value.version,
+      era: outcome.value.era,
       firstReadAt: clock.now(),
     };
-    return { kind: "applied" };
+    return { kind: "applied", era: outcome.value.era };
+  }
+
+  #raiseLostEnd(endsAt: number): void {
+    this.#lostLeadersEndAt = Math.max(this.#lostLeadersEndAt, endsAt);
+    this.#raiseUnnamedEnd(endsAt);
   }
 
   #raiseUnnamedEnd(endsAt: number): void {
@@ -488,6 +601,7 @@
 
   #lose(reason: string): void {
     this.#held = false;
+    this.#heldEra = undefined;
     this.#leaderUnreachable = true;
     // If this VM leads again, it has forgotten the leases that it granted.
     this.#raiseUnnamedEnd(this.#opts.clock.now());
--- a/src/ranges/plan_ranges.ts
+++ b/src/ranges/plan_ranges.ts
@@ -21,6 +21,8 @@
   upstreams: readonly UpstreamCapacity[];
   /** Keys and their requests per second, in ascending order of keys. */
   rates: readonly (readonly [number, number])[];
+  /** Whether to move only the keys of lost or draining owners. */
+  onlyUnusable?: boolean;
 };
 type UpstreamLoad = UpstreamCapacity & { ratePerS: number; rangeCount: number };
 
@@ -361,6 +363,9 @@
   const plan = new Plan(input);
   plan.assignAll();
   plan.replaceOwners();
+  if (input.onlyUnusable === true) {
+    return plan.changed ? plan.document : undefined;
+  }
   plan.assignToNewUpstreams();
   plan.balance();
   plan.mergeNeighbours();
--- a/src/ranges/range_orders.ts
+++ b/src/ranges/range_orders.ts
@@ -13,6 +13,7 @@
 import type { RangeGrants } from "./range_grants.ts";
 import { rangeKey } from "./range_key.ts";
 import type { RangeTable } from "./range_table.ts";
+import { UNKNOWN_OWNER } from "./unknown_owner.ts";
 import { unfencedOwners } from "./unfenced_owners.ts";
 
 type Options = {
@@ -107,6 +108,23 @@
       : document;
   }
 
+  /**
+   * @returns whether upstreams may hold keys under grants of a leader whose rows
+   * a restore of the store has lost
+   */
+  get mayHaveUnknownOwners(): boolean {
+    const { clock, lease } = this.#opts;
+    return clock.now() < lease.lostOrdersEndAt + this.#maxLeaseMs();
+  }
+
+  /**
+   * @param range - a range without previous owners
+   * @returns whether its owner refused the grant as it has seen a higher token
+   */
+  isStale(range: KeyRange): boolean {
+    return this.#renewals.get(rangeKey(range))?.stale === true;
+  }
+
   /**
    * Sends the orders that put the last known owners into effect, also while the
    * store is unreachable, until the signal aborts.
@@ -254,10 +272,10 @@
             holdMs,
             handover,
             maySend: () => lease.maySendOrders,
-            // While the leader lease is not confirmed, another leader may have
-            // moved the keys. An upstream that has restarted since would not
+            // While the leader lease is not confirmed, or was not before a
+            // restore, another leader may have moved the keys. An upstream that has restarted since would not
             // know that leader's token.
-            sameProcess: !lease.confirmed,
+            sameProcess: !lease.confirmed || this.mayHaveUnknownOwners,
             onLeaving: () => upstream.announceLeave(),
           },
           timeoutSignal,
@@ -319,7 +337,9 @@
       const released = await this.#release(range, previous, signal);
       if (released === undefined) return undefined;
       handover = released.handover ?? handover;
-      if (released.expired) expired.push(previous);
+      if (released.expired && previous.id !== UNKNOWN_OWNER.id) {
+        expired.push(previous);
+      }
     }
     this.#grantingMoves.add(range.fence);
     while (this.#mayOrder(range, signal)) {
--- a/src/ranges/range_table.ts
+++ b/src/ranges/range_table.ts
@@ -6,10 +6,12 @@
   /**
    * @param version - version of the row
    * @param document - contents of the row
+   * @param era - era of the store to which the version belongs
    */
   constructor(
     readonly version: number,
     readonly document: RangeDocument,
+    readonly era = 0,
   ) {}
 
   /**
--- a/src/ranges/read_range_table.ts
+++ b/src/ranges/read_range_table.ts
@@ -24,12 +24,14 @@
  *
  * @param row - row of one service
  * @param logger - receives an error if the row cannot be read
+ * @param era - era of the store from which the row was read
  * @returns the owners of the service's keys, or undefined if the row cannot be
  * read
  */
 export function readRangeTable(
   row: Row,
   logger: Logger,
+  era = 0,
 ): RangeTable | undefined {
   let value: unknown;
   try {
@@ -39,7 +41,9 @@
     return undefined;
   }
   const document = RangeDocument.safeParse(value);
-  if (document.success) return new RangeTable(row.version, document.data);
+  if (document.success) {
+    return new RangeTable(row.version, document.data, era);
+  }
   logger.error(
     { key: row.key, problems: document.error.issues },
     "row of key owners does not match the schema",
--- a/src/ranges/service_ranges.ts
+++ b/src/ranges/service_ranges.ts
@@ -4,6 +4,7 @@
 import type { DirectMetrics } from "../direct/direct_metrics.ts";
 import type { FleetView } from "../direct/fleet_view.ts";
 import type { RowStore } from "../rows/row_store.ts";
+import { assignAgain } from "./assign_again.ts";
 import { encodeRangeDocument } from "./encode_range_document.ts";
 import type { LeaderLease } from "./leader_lease.ts";
 import type { KeyLoad } from "./key_load.ts";
@@ -11,6 +12,8 @@
 import type { RangeDocument } from "./range_document.ts";
 import type { RangeGrants } from "./range_grants.ts";
 import { RangeOrders } from "./range_orders.ts";
+import { skipLostFences } from "./skip_lost_fences.ts";
+import { withUnknownOwner } from "./with_unknown_owner.ts";
 import { RangeTable } from "./range_table.ts";
 import { readRangeTable } from "./read_range_table.ts";
 
@@ -41,12 +44,17 @@
 /** A cold upstream is assigned at most this fraction of its warm-up limit. */
 const COLD_CAPACITY_FRACTION = 0.6;
 const MS_PER_S = 1000;
+const NO_RANGES: RangeDocument = { schema: 1, nextFence: 1, ranges: [] };
 
 /** Assigns the keys of one service while this VM is the leader. */
 export class ServiceRanges {
   readonly #opts: Options;
   /** The last known owners. */
   #table: RangeTable | undefined;
+  /** Whether the known owners differ from the row because of a restore. */
+  #isUnwritten = false;
+  /** Whether the row was from an older copy in this VM's term. */
+  #isRestored = false;
   /** Whether the row may have changed since the last read or write. */
   #tableIsStale = true;
   readonly #orders: RangeOrders;
@@ -97,8 +105,11 @@
     while (!signal.aborted) {
       // A successor may have changed the row while the lease was not confirmed,
       // so it is read again once the lease is confirmed.
-      if (!lease.confirmed) this.#tableIsStale = true;
-      else if (!this.#tableIsStale || await this.#read(signal)) {
+      const isStale = !lease.confirmed || this.#table?.era !== lease.era;
+      if (isStale) this.#tableIsStale = true;
+      if (
+        lease.confirmed && (!this.#tableIsStale || await this.#read(signal))
+      ) {
         await this.#write(signal);
       }
       await clock.sleep(WRITE_INTERVAL_MS, signal);
@@ -106,7 +117,7 @@
   }
 
   async #read(signal: AbortSignal): Promise<boolean> {
-    const { store, table, service, logger } = this.#opts;
+    const { store, table, service, logger, lease } = this.#opts;
     const read = await store.readTable(table, signal);
     if (read.isErr()) {
       logger.warn(
@@ -116,27 +127,73 @@
       return false;
     }
     const row = read.value.rows.find(({ key }) => key === service);
-    const found = row === undefined ? undefined : readRangeTable(row, logger);
+    const { era } = read.value;
+    // The lease is not known to be held in the store's present era.
+    if (era !== lease.era) return false;
+    const found = row === undefined
+      ? undefined
+      : readRangeTable(row, logger, era);
     // An unreadable row may hold fencing tokens that must not be used again.
     if (row !== undefined && found === undefined) return false;
-    this.#table = found ??
-      new RangeTable(row?.version ?? 0, {
-        schema: 1,
-        nextFence: 1,
-        ranges: [],
-      });
+    const document = found?.document ?? NO_RANGES;
+    const isRestored = (document.era ?? 0) !== era;
+    this.#table = new RangeTable(
+      row?.version ?? 0,
+      isRestored ? this.#afterRestore(document, era) : document,
+      era,
+    );
+    this.#isRestored ||= isRestored;
+    this.#isUnwritten = isRestored;
     this.#tableIsStale = false;
     return true;
   }
 
+  /**
+   * Returns the owners to write instead of those of an older copy of the row.
+   *
+   * @param document - the copy's owners
+   * @param era - the store's present era
+   */
+  #afterRestore(document: RangeDocument, era: number): RangeDocument {
+    const { service, view, lease, logger } = this.#opts;
+    const known = this.#table;
+    const hasLed = known !== undefined &&
+      known.document.nextFence >= document.nextFence;
+    logger.warn({
+      service,
+      era,
+      hasLed,
+      nextFence: document.nextFence,
+      ranges: document.ranges.length,
+    }, "key owners are from an older copy; writing them again");
+    if (hasLed) {
+      // What this VM has written since the copy was taken.
+      return known.era === era || !this.#orders.mayHaveUnknownOwners
+        ? known.document
+        : skipLostFences(known.document);
+    }
+    // The first leader finds no row, and no VM has read of one.
+    if (
+      document.ranges.length === 0 && view.nextFence(service) === 1 &&
+      lease.lostOrdersEndAt === Number.NEGATIVE_INFINITY
+    ) return document;
+    return assignAgain(
+      skipLostFences(document, view.nextFence(service)),
+      () => true,
+    );
+  }
+
   /** Writes new plans and removes the previous owners of completed moves. */
   async #write(signal: AbortSignal): Promise<void> {
     const { store, table, service, logger, view } = this.#opts;
     const before = this.#table;
     if (before === undefined) return;
     const current = this.#orders.applyProgress(before.document);
-    const planned = this.#plan(current) ?? current;
-    if (planned === before.document) return;
+    const planned = this.#forEra(
+      this.#plan(this.#assignStaleAgain(current)),
+      before,
+    );
+    if (planned === before.document && !this.#isUnwritten) return;
     const outcome = await store.transact({
       expect: [{ table, key: service, version: before.version }],
       writes: [{ table, key: service, value: encodeRangeDocument(planned) }],
@@ -151,12 +208,48 @@
       this.#tableIsStale = true;
       return;
     }
-    this.#table = new RangeTable(outcome.value.version, planned);
+    const { version, era } = outcome.value;
+    this.#table = new RangeTable(version, planned, era);
+    this.#isUnwritten = false;
+    // The write may have replaced a row that another leader has written since.
+    if (era !== before.era) this.#tableIsStale = true;
     this.#orders.prune(planned);
     view.setRanges(service, this.#table);
   }
 
-  #plan(document: RangeDocument): RangeDocument | undefined {
+  /**
+   * Assigns ranges again whose owners have seen a higher token, which can only be
+   * that of a leader whose rows are lost.
+   */
+  #assignStaleAgain(document: RangeDocument): RangeDocument {
+    return this.#isRestored
+      ? assignAgain(
+        document,
+        (range) => range.previous.length === 0 && this.#orders.isStale(range),
+      )
+      : document;
+  }
+
+  /** Completes a plan with what a restore of the store makes necessary. */
+  #forEra(
+    planned: RangeDocument,
+    { document, era }: RangeTable,
+  ): RangeDocument {
+    if (planned === document && (document.era ?? 0) === era) return document;
+    const ranges = this.#orders.mayHaveUnknownOwners
+      ? planned.ranges.map((range) =>
+        range.fence < document.nextFence ? range : withUnknownOwner(range)
+      )
+      : planned.ranges;
+    return { ...planned, ranges, ...(era === 0 ? {} : { era }) };
+  }
+
+  /** Returns the same document if nothing is to be changed. */
+  #plan(document: RangeDocument): RangeDocument {
+    return this.#planIfDue(document) ?? document;
+  }
+
+  #planIfDue(document: RangeDocument): RangeDocument | undefined {
     const { clock, view, service, load, workMs, logger } = this.#opts;
     const now = clock.now();
     if (now - this.#plannedAt < PLAN_INTERVAL_MS) return undefined;
@@ -185,7 +278,13 @@
             : capacityPerS,
         };
       });
-    const planned = planRanges({ document, upstreams, rates: load.rates(now) });
+    const planned = planRanges({
+      document,
+      upstreams,
+      rates: load.rates(now),
+      // Other moves can wait until all owners are known.
+      onlyUnusable: this.#orders.mayHaveUnknownOwners,
+    });
     if (planned === undefined) return undefined;
     logger.info({
       service,
--- a/src/rows/changes_query.ts
+++ b/src/rows/changes_query.ts
@@ -7,6 +7,8 @@
   params: z.object({
     /** Version up to which the calling VM knows the changes, by table. */
     known: z.record(z.string(), z.number()),
+    /** Era of the store to which these versions belong, by table; 0 if absent. */
+    eras: z.record(z.string(), z.number()).optional(),
   }),
   result: z.object({
     /** Changes by table, for the tables that the called VM can relay. */
--- a/src/rows/row_origin.ts
+++ b/src/rows/row_origin.ts
@@ -7,4 +7,11 @@
    * for the first rows.
    */
   latenessMs: number;
+  /** Era of the store; 0 if absent. */
+  era?: number;
+  /**
+   * Whether the store was restored from an older copy since the rows before
+   * these, so that rows may be missing or have an older state.
+   */
+  restored?: boolean;
 };
--- a/src/rows/row_store.ts
+++ b/src/rows/row_store.ts
@@ -6,7 +6,9 @@
 
 /**
  * A linearizable store of rows with conditional transactions and a change
- * feed for each table.
+ * feed for each table. Each result carries the store's era, which increases when
+ * the store is restored from an older copy. Versions are comparable only within
+ * one era. The era is 0 for a store that does not report one.
  */
 export interface RowStore {
   /**
@@ -15,13 +17,16 @@
    * @param transaction - conditions and changes
    * @param signal - stops waiting; the transaction may still be applied
    * @returns the version of the transaction, or the current rows of `expect` if
-   * a condition did not hold
+   * a condition did not hold. If the era is later than that of the expected
+   * versions, the transaction may have replaced rows that the caller has not
+   * read
    */
   transact(
     transaction: RowTransaction,
     signal: AbortSignal,
   ): ResultAsync<
-    { kind: "applied"; version: number } | { kind: "conflict"; rows: Row[] },
+    | { kind: "applied"; version: number; era: number }
+    | { kind: "conflict"; rows: Row[]; era: number },
     RowStoreError
   >;
 
@@ -37,7 +42,7 @@
     table: string,
     signal: AbortSignal,
   ): ResultAsync<
-    { rows: Row[]; version: number; asOf: number },
+    { rows: Row[]; version: number; asOf: number; era: number },
     RowStoreError
   >;
 
@@ -54,7 +59,7 @@
     query: { table: string; after: number; waitMs: number },
     signal: AbortSignal,
   ): ResultAsync<
-    { changes: RowChange[]; version: number; asOf: number },
+    { changes: RowChange[]; version: number; asOf: number; era: number },
     RowStoreError
   >;
 }
--- a/src/rows/table_changes.ts
+++ b/src/rows/table_changes.ts
@@ -4,6 +4,8 @@
 export const TableChanges = z.object({
   /** With these changes, the receiver knows all changes up to this version. */
   version: z.number().int(),
+  /** Era of the store to which the versions belong. */
+  era: z.number().int().nonnegative().optional(),
   /**
    * Milliseconds since the store confirmed that they are complete. Relays of
    * earlier releases do not report it; they answer up to this age.
--- a/src/rows/table_follower.ts
+++ b/src/rows/table_follower.ts
@@ -68,7 +68,8 @@
  * Follows one table: reads the whole table, then receives its changes from the
  * store's feed, or from a relay while that knows them well enough. Reads the
  * whole table again if the store no longer keeps the changes since the known
- * version.
+ * version, or has been restored from an older copy (a later era). Responses of an
+ * earlier era are ignored.
  */
 export class TableFollower {
   readonly #opts: Options;
@@ -76,6 +77,8 @@
   /** Fires when the relay no longer sends changes. */
   readonly #relayLost = new ChangeNotifier();
   #version: number | undefined;
+  /** Era of the store to which the version and the known rows belong. */
+  #era = 0;
   /** Monotonic milliseconds at which the version last increased. */
   #versionChangedAt = Number.NEGATIVE_INFINITY;
   /** Monotonic milliseconds as of which the known rows are complete. */
@@ -110,6 +113,13 @@
     return this.#version;
   }
 
+  /**
+   * @returns era of the store to which the version belongs
+   */
+  get era(): number {
+    return this.#era;
+  }
+
   /**
    * @returns whether the table has been read at least once
    */
@@ -207,10 +217,12 @@
    * Returns the changes that a peer has missed.
    *
    * @param known - version up to which the peer knows the changes
-   * @returns the later changes; undefined if this VM's feed may be behind or
-   * its history does not reach back far enough
+   * @param era - era of the store to which this version belongs
+   * @returns the later changes; undefined if this VM's feed may be behind, its
+   * history does not reach back far enough, or it knows another era
    */
-  changesSince(known: number): TableChanges | undefined {
+  changesSince(known: number, era = 0): TableChanges | undefined {
+    if (era !== this.#era) return undefined;
     const { ageMs } = this;
     const changes = this.#history.since(known);
     const isUpToDate = this.#reachable &&
@@ -221,6 +233,7 @@
     const regainedMs = this.#opts.clock.now() - this.#reconnectedAt;
     return {
       version: this.#version,
+      ...(era === 0 ? {} : { era }),
       ageMs,
       changes: changes.map((change) =>
         change.kind === "removed"
@@ -246,6 +259,11 @@
     const { table, clock, logger } = this.#opts;
     // The whole table is being read.
     if (this.#version === undefined) return;
+    // Either this VM or the relay has not read the restored table yet.
+    if ((relayed.era ?? 0) !== this.#era) {
+      this.onRelayLost();
+      return;
+    }
     const knownForMs = clock.now() - this.#versionChangedAt;
     if (relayed.version < this.#version && knownForMs > MAX_RELAY_LAG_MS) {
       logger.info(
@@ -293,14 +311,24 @@
     const { store, table, onSnapshot } = this.#opts;
     const read = await store.readTable(table, signal);
     if (read.isErr()) return this.#onReadFailed(read.error, signal);
+    const { era } = read.value;
+    if (era < this.#era) return earlierEra(era);
+    const restored = this.synced && era > this.#era;
+    this.#era = era;
     this.#version = read.value.version;
     this.#versionChangedAt = this.#opts.clock.now();
     this.#history.reset(read.value.version);
     this.#onReadSucceeded();
+    if (restored) this.#onRestored();
     const latenessMs = this.ageMs;
     this.#confirm(read.value.asOf);
     this.#deliver(() =>
-      onSnapshot(read.value.rows, { source: "whole_read", latenessMs })
+      onSnapshot(read.value.rows, {
+        source: "whole_read",
+        latenessMs,
+        era,
+        ...(restored ? { restored } : {}),
+      })
     );
     return undefined;
   }
@@ -319,8 +347,13 @@
       (combined) => store.waitForChanges({ table, after, waitMs }, combined),
     );
     if (read.isErr()) return this.#onReadFailed(read.error, signal);
+    const { changes, version, asOf, era } = read.value;
+    if (era < this.#era) return earlierEra(era);
     this.#onReadSucceeded();
-    const { changes, version, asOf } = read.value;
+    // Versions of another era cannot be compared with the known one.
+    if (era > this.#era) {
+      return { kind: "history_lost", message: `store is in era ${era}` };
+    }
     this.#applyFrom("feed", changes, version, asOf);
     return undefined;
   }
@@ -342,7 +375,21 @@
     }
     if (fresh.length === 0) return;
     this.#history.add(fresh);
-    this.#deliver(() => this.#opts.onChanges(fresh, { source, latenessMs }));
+    const era = this.#era;
+    this.#deliver(() =>
+      this.#opts.onChanges(fresh, { source, latenessMs, era })
+    );
+  }
+
+  /** Entries that the copy lacks are written again, as after an outage. */
+  #onRestored(): void {
+    const { clock, logger, table } = this.#opts;
+    this.#reconnectedAt = clock.now();
+    this.#opts.onReconnected?.();
+    logger.warn(
+      { table, era: this.#era, version: this.#version },
+      "table read again, as the store was restored from an older copy",
+    );
   }
 
   #confirm(asOf: number): void {
@@ -390,3 +437,7 @@
     return err;
   }
 }
+
+function earlierEra(era: number): RowStoreError {
+  return { kind: "unknown", message: `late response of era ${era}` };
+}
--- a/src/rows/table_relay.ts
+++ b/src/rows/table_relay.ts
@@ -1,3 +1,4 @@
+import type { z } from "zod";
 import { ChangeNotifier } from "../base/change_notifier.ts";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
@@ -19,6 +20,7 @@
   logger: Logger;
   signal: AbortSignal;
 };
+type Query = z.infer<typeof ChangesQuery.params>;
 
 /**
  * VMs read larger changes from the store. Its link is faster than that of a
@@ -55,7 +57,7 @@
       params: ChangesQuery.params,
       handle: (params) =>
         Promise.resolve({
-          changes: this.#changesSince(ChangesQuery.params.parse(params).known),
+          changes: this.#changesSince(ChangesQuery.params.parse(params)),
         }),
     };
   }
@@ -125,7 +127,7 @@
     const answer = await peers.call({
       peerUrl,
       method: ChangesQuery.method,
-      params: { known: this.#knownVersions() },
+      params: this.#knownVersions(),
       result: ChangesQuery.result,
       timeoutMs: QUERY_TIMEOUT_MS,
     }, signal);
@@ -145,20 +147,23 @@
     }
   }
 
-  #knownVersions(): Record<string, number> {
+  #knownVersions(): Query {
     const known: Record<string, number> = {};
-    for (const { table, version } of this.#opts.followers) {
-      if (version !== undefined) known[table] = version;
+    const eras: Record<string, number> = {};
+    for (const { table, version, era } of this.#opts.followers) {
+      if (version === undefined) continue;
+      known[table] = version;
+      if (era > 0) eras[table] = era;
     }
-    return known;
+    return Object.keys(eras).length === 0 ? { known } : { known, eras };
   }
 
-  #changesSince(known: Record<string, number>): Record<string, TableChanges> {
+  #changesSince({ known, eras }: Query): Record<string, TableChanges> {
     const relayed: Record<string, TableChanges> = {};
     for (const follower of this.#opts.followers) {
       const version = known[follower.table];
       if (version === undefined) continue;
-      const found = follower.changesSince(version);
+      const found = follower.changesSince(version, eras?.[follower.table]);
       if (found !== undefined && isSmallEnough(found)) {
         relayed[follower.table] = found;
       }
--- a/tests/direct/fleet_view_test.ts
+++ b/tests/direct/fleet_view_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { RangeTable } from "../../src/ranges/range_table.ts";
 import { FleetRig } from "../support/fleet_rig.ts";
 
 describe("FleetView", () => {
@@ -164,4 +165,44 @@
     rig.view.setVms(11);
     assert.equal(rig.view.vms, 11);
   });
+
+  // Guards against owners of keys that are never updated again, as the versions
+  // of a restored store are lower than the known one.
+  it("takes the owners of keys of a later era of the store", () => {
+    const { view } = FleetRig.manual();
+    const table = (version: number, nextFence: number, era: number) =>
+      new RangeTable(version, { schema: 1, nextFence, ranges: [] }, era);
+    view.setRanges("s", table(100, 20, 0));
+    view.setRanges("s", table(40, 10, 1));
+    assert.equal(view.ranges("s")?.version, 40);
+    view.setRanges("s", table(101, 21, 0));
+    assert.equal(view.ranges("s")?.version, 40);
+    assert.equal(view.nextFence("s"), 21);
+  });
+
+  // Guards against removing running upstreams that registered after the copy was
+  // taken, and against replacing a process by its predecessor.
+  it("keeps upstreams that a restored registry lacks until they register", async () => {
+    const rig = FleetRig.manual();
+    for (let n = 0; n < 10; n++) rig.upstream({ id: `u-${n}`, incarnation: 2 });
+    const restored = [...rig.view.upstreams].map(({ entry }) => entry)
+      .filter(({ id }) => id !== "u-3")
+      .map((entry) =>
+        entry.id === "u-4" ? { ...entry, incarnation: 1 } : entry
+      );
+    rig.view.onRegistryReconnected();
+    rig.view.setRegistry(restored, {
+      source: "whole_read",
+      latenessMs: 0,
+      restored: true,
+    });
+    for (const id of ["u-3", "u-4"]) {
+      const upstream = rig.view.upstream(id);
+      assert.equal(upstream?.entry.incarnation, 2);
+      assert.ok(rig.view.isUsable(upstream), `${id} is not usable`);
+    }
+    await rig.clock.advance(2500);
+    rig.view.removeMissing();
+    assert.equal(rig.view.upstream("u-3"), undefined);
+  });
 });
--- a/tests/ranges/leader_lease_test.ts
+++ b/tests/ranges/leader_lease_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { ResultAsync } from "neverthrow";
+import { err, ResultAsync } from "neverthrow";
 import { LeaderLease } from "../../src/ranges/leader_lease.ts";
+import type { RowStoreError } from "../../src/rows/row_store_error.ts";
 import { ManualClock } from "../support/manual_clock.ts";
 import { MemoryRowStore } from "../../dev/standins/memory_row_store.ts";
 import { silentLogger } from "../support/silent_logger.ts";
@@ -463,4 +464,86 @@
     assert.ok(one.lease.stepDown());
     assert.ok(!one.lease.held);
   });
+
+  // Guards against a leader that relies on a renewal that the restored store has
+  // lost, and against one that loses the lease although no one else had it.
+  it("counts as confirmed after a restore once it has written its row", async () => {
+    const { store, start, advance } = createRig();
+    const copy = store.copy();
+    const { lease, stop } = start("vm-1");
+    await advance(700);
+    assert.ok(lease.confirmed, "not the leader");
+    store.fault = "down";
+    await advance(600);
+    store.restore(copy);
+    store.fault = "none";
+    await advance(500);
+    assert.ok(lease.held && lease.confirmed, "lease not written again");
+    assert.equal(lease.era, 1);
+    assert.equal(lease.lostOrdersEndAt, Number.NEGATIVE_INFINITY);
+    const [row] = [...store.rows.values()];
+    assert.match(Buffer.from(row?.value ?? []).toString(), /"era":1/);
+    stop();
+  });
+
+  // Guards against a leader that does not know of a successor, as the successor's
+  // row is lost, and assumes that no one else has granted keys.
+  it("waits for an unknown successor whose row a restore has lost", async () => {
+    const { clock, store, start, advance, reportUnreachableFor } = createRig();
+    const first = start("vm-1");
+    await advance(700);
+    const copy = store.copy();
+    const transact = store.transact.bind(store);
+    store.transact = (transaction, signal) => {
+      const text = Buffer.from(transaction.writes[0]?.value ?? []).toString();
+      if (!text.includes('"schema":1,"vm":"vm-1"')) {
+        return transact(transaction, signal);
+      }
+      return new ResultAsync(
+        Promise.resolve(
+          err<never, RowStoreError>({ kind: "unknown", message: "cut off" }),
+        ),
+      );
+    };
+    const second = start("vm-2");
+    await reportUnreachableFor(second.lease, 4000);
+    assert.ok(second.lease.held, "no successor");
+    second.stop();
+    store.restore(copy);
+    store.transact = transact;
+    const restoredAt = clock.now();
+    await advance(1000);
+    assert.ok(first.lease.confirmed, "the first leader has no lease");
+    assert.ok(
+      first.lease.lostOrdersEndAt >= restoredAt + 12_000,
+      `${first.lease.lostOrdersEndAt - restoredAt} ms`,
+    );
+    first.stop();
+  });
+
+  // Guards against a VM that takes the lease of a leader that is about to write
+  // its row again, and against one that relies on an old row.
+  it("leaves a restored row to its leader, and then waits for unknown ones", async () => {
+    const { clock, store, start, advance, reportUnreachableFor } = createRig();
+    const first = start("vm-1");
+    await advance(700);
+    const copy = store.copy();
+    await advance(1000);
+    store.restore(copy);
+    first.stop();
+    const restoredAt = clock.now();
+    const second = start("vm-2");
+    await reportUnreachableFor(second.lease, 3000);
+    assert.ok(
+      !second.lease.held,
+      "taken before the leader could write its row",
+    );
+    await reportUnreachableFor(second.lease, 3000);
+    assert.ok(second.lease.held, "lease not taken");
+    assert.ok(
+      second.lease.lostOrdersEndAt >= restoredAt + 12_000,
+      `${second.lease.lostOrdersEndAt - restoredAt} ms`,
+    );
+    second.stop();
+  });
 });
--- a/tests/rows/table_follower_test.ts
+++ b/tests/rows/table_follower_test.ts
@@ -15,6 +15,8 @@
     snapshots: 0,
     reconnected: 0,
     origins: [] as RowOrigin[],
+    /** Values that were received as changes. */
+    values: [] as string[],
   };
   const end = new AbortController();
   const text = (value: Uint8Array) => Buffer.from(value).toString();
@@ -37,6 +39,7 @@
       for (const change of changes) {
         if (change.kind === "written") {
           rows.set(change.row.key, text(change.row.value));
+          seen.values.push(text(change.row.value));
         } else rows.delete(change.key);
       }
     },
@@ -266,4 +269,70 @@
       end.abort();
     });
   }
+
+  // Guards against rows that keep the state of before a restore of the store, as
+  // its versions start again below the known ones or are assigned again.
+  for (const writes of [0, 2, 5]) {
+    it(`reads the table again after a restore and ${writes} writes`, async () => {
+      const { store, rows, seen, follower, end, advance } = createRig();
+      store.put("t", "a", "1");
+      const copy = store.copy();
+      void follower.run(end.signal);
+      await advance(100);
+      store.put("t", "a", "lost");
+      store.put("t", "b", "lost");
+      await advance(100);
+      store.restore(copy);
+      for (let n = 0; n < writes; n++) store.put("t", `c${n}`, "new");
+      // The store holds a feed call for up to 550 ms.
+      await advance(800);
+      const expected = Array.from({ length: writes }, (_, n) => `c${n}`);
+      assert.deepEqual([...rows.keys()], ["a", ...expected]);
+      assert.equal(rows.get("a"), "1");
+      assert.equal(seen.origins.at(-1)?.restored ?? true, true);
+      assert.equal(seen.origins.at(-1)?.era, 1);
+      assert.equal(seen.reconnected, 1);
+      store.put("t", "a", "2");
+      await advance(100);
+      assert.equal(rows.get("a"), "2");
+      end.abort();
+    });
+  }
+
+  // Guards against rows that are lost but arrive late, and then count as newer
+  // because their versions are higher.
+  it("drops a late response of an earlier era", async () => {
+    const { store, rows, seen, follower, end, advance } = createRig();
+    store.put("t", "a", "1");
+    const copy = store.copy();
+    void follower.run(end.signal);
+    await advance(100);
+    store.restore(copy);
+    store.put("t", "a", "new");
+    await advance(100);
+    const waitForChanges = store.waitForChanges.bind(store);
+    store.waitForChanges = (query, signal) =>
+      waitForChanges({ ...query, waitMs: 0 }, signal).map((read) => ({
+        ...read,
+        era: 0,
+        version: 99,
+        changes: [{
+          kind: "written" as const,
+          row: {
+            table: "t",
+            key: "a",
+            version: 99,
+            value: Buffer.from("late"),
+          },
+        }],
+      }));
+    await advance(1000);
+    assert.equal(rows.get("a"), "new");
+    store.waitForChanges = waitForChanges;
+    store.put("t", "a", "newer");
+    await advance(1000);
+    assert.equal(rows.get("a"), "newer");
+    assert.ok(!seen.values.includes("late"), "late response applied");
+    end.abort();
+  });
 });
--- a/tests/rows/table_relay_test.ts
+++ b/tests/rows/table_relay_test.ts
@@ -132,4 +132,46 @@
     for (const { seen } of rig.vms) assert.equal(seen.rows.get("a"), large);
     rig.end.abort();
   });
+
+  // Guards against changes that a relay in one era of the store sends to a VM in
+  // another one, where the same versions belong to other rows.
+  for (const behind of ["vm-0", "vm-1"]) {
+    it(`relays nothing between eras while ${behind} does not reach the store`, async () => {
+      const rig = await startRig(2);
+      const copy = rig.store.copy();
+      rig.put("a", "lost");
+      await rig.advance(1000);
+      const cutOff = rig.vms.find(({ vm }) => vm === behind);
+      assert.ok(cutOff !== undefined, "no such VM");
+      cutOff.store.seen.refused = true;
+      rig.store.restore(copy);
+      for (let n = 0; n < 3; n++) rig.put("b", `${n}`);
+      await rig.advance(4000);
+      const other = rig.vms.find(({ vm }) => vm !== behind);
+      assert.deepEqual([...other?.seen.rows ?? []], [["a", "1"], ["b", "2"]]);
+      assert.deepEqual([...cutOff.seen.rows], [["a", "lost"]]);
+      cutOff.store.seen.refused = false;
+      await rig.advance(2000);
+      assert.deepEqual([...cutOff.seen.rows], [["a", "1"], ["b", "2"]]);
+      rig.end.abort();
+    });
+  }
+
+  it("relays changes of the restored store once both VMs have read it", async () => {
+    const rig = await startRig(3);
+    const copy = rig.store.copy();
+    rig.put("a", "lost");
+    await rig.advance(1000);
+    rig.store.restore(copy);
+    await rig.advance(3000);
+    const before = rig.feedCalls;
+    for (let index = 0; index < 10; index += 1) {
+      rig.put("a", `${index}`);
+      await rig.advance(CHANGE_INTERVAL_MS);
+    }
+    await rig.advance(700);
+    assert.ok(rig.feedCalls - before <= 25, `${rig.feedCalls - before} calls`);
+    for (const { seen } of rig.vms) assert.equal(seen.rows.get("a"), "9");
+    rig.end.abort();
+  });
 });
--- a/tests/support/range_rig.ts
+++ b/tests/support/range_rig.ts
@@ -2,6 +2,7 @@
 import { FleetView } from "../../src/direct/fleet_view.ts";
 import { LeaderLease } from "../../src/ranges/leader_lease.ts";
 import { KeyLoad } from "../../src/ranges/key_load.ts";
+import type { RowStore } from "../../src/rows/row_store.ts";
 import { ServiceRanges } from "../../src/ranges/service_ranges.ts";
 import { LeaseUpstreams } from "./lease_upstreams.ts";
 import { ManualClock } from "./manual_clock.ts";
@@ -18,9 +19,13 @@
   readonly load = new KeyLoad(0);
   readonly end = new AbortController();
 
-  /** Creates a VM that may become the leader. */
-  addCandidate(vm: string, ids: readonly string[]) {
-    const { clock, store } = this;
+  /** Creates a VM that may become the leader, with its view of the store. */
+  addCandidate(
+    vm: string,
+    ids: readonly string[],
+    store: RowStore = this.store,
+  ) {
+    const { clock } = this;
     const logger = silentLogger();
     const view = new FleetView({
       clock,
@@ -58,22 +63,23 @@
       logger,
       signal: end.signal,
     });
-    const ranges = new ServiceRanges({
-      service: SERVICE,
-      store,
-      table: "ranges",
-      view,
-      lease,
-      grants: this.upstreams.connectionsOf(vm),
-      load: this.load,
-      workMs: () => 100,
-      speeds: () => new Map(),
-      clock,
-      logger,
-      metrics: new DirectMetrics(),
-      holdMs: 4000,
-    });
-    return { vm, view, lease, ranges, end };
+    const newRanges = () =>
+      new ServiceRanges({
+        service: SERVICE,
+        store,
+        table: "ranges",
+        view,
+        lease,
+        grants: this.upstreams.connectionsOf(vm),
+        load: this.load,
+        workMs: () => 100,
+        speeds: () => new Map(),
+        clock,
+        logger,
+        metrics: new DirectMetrics(),
+        holdMs: 4000,
+      });
+    return { vm, view, lease, ranges: newRanges(), newRanges, end };
   }
 
   register(
