fix(ranges): skip tokens by the number of restores since the row was written

Cause: two restores can go back to the same copy of the row.

Change: the gap is multiplied by the number of eras since the row was written. A range whose owner answers that it has seen a higher token is assigned again with a new one, also while it moves.

--- a/src/ranges/range_orders.ts
+++ b/src/ranges/range_orders.ts
@@ -66,6 +66,8 @@
    * previous owners whose leases have expired without a release.
    */
   readonly #completedMoves = new Map<number, KeyRange["owner"][]>();
+  /** Fencing tokens of ranges whose new owners have seen higher ones. */
+  readonly #staleMoves = new Set<number>();
   readonly #fences: RangeFences;
   readonly #addresses = new Map<string, string>();
 
@@ -118,11 +120,12 @@
   }
 
   /**
-   * @param range - a range without previous owners
+   * @param range - a range
    * @returns whether its owner refused the grant as it has seen a higher token
    */
   isStale(range: KeyRange): boolean {
-    return this.#renewals.get(rangeKey(range))?.stale === true;
+    return this.#renewals.get(rangeKey(range))?.stale === true ||
+      this.#staleMoves.has(range.fence);
   }
 
   /**
@@ -161,6 +164,11 @@
       );
       if (!isPending) this.#completedMoves.delete(fence);
     }
+    for (const fence of this.#staleMoves) {
+      if (!ranges.some((range) => range.fence === fence)) {
+        this.#staleMoves.delete(fence);
+      }
+    }
     const keys = new Set(ranges.map(rangeKey));
     for (const key of this.#renewals.keys()) {
       if (!keys.has(key)) this.#renewals.delete(key);
@@ -362,6 +370,7 @@
         return expired;
       }
       if (result === "stale") {
+        this.#staleMoves.add(range.fence);
         this.#opts.onStale();
         return undefined;
       }
--- a/src/ranges/service_ranges.ts
+++ b/src/ranges/service_ranges.ts
@@ -53,8 +53,6 @@
   #table: RangeTable | undefined;
   /** Whether the known owners differ from the row because of a restore. */
   #isUnwritten = false;
-  /** Whether the row was from an older copy in this VM's term. */
-  #isRestored = false;
   /** Whether the row may have changed since the last read or write. */
   #tableIsStale = true;
   readonly #orders: RangeOrders;
@@ -142,7 +140,6 @@
       isRestored ? this.#afterRestore(document, era) : document,
       era,
     );
-    this.#isRestored ||= isRestored;
     this.#isUnwritten = isRestored;
     this.#tableIsStale = false;
     return true;
@@ -170,15 +167,16 @@
       // What this VM has written since the copy was taken.
       return known.era === era || !this.#orders.mayHaveUnknownOwners
         ? known.document
-        : skipLostFences(known.document);
+        : skipLostFences(known.document, era);
     }
     // The first leader finds no row, and no VM has read of one.
     if (
       document.ranges.length === 0 && view.nextFence(service) === 1 &&
       lease.lostOrdersEndAt === Number.NEGATIVE_INFINITY
     ) return document;
+    const nextFence = Math.max(document.nextFence, view.nextFence(service));
     return assignAgain(
-      skipLostFences(document, view.nextFence(service)),
+      skipLostFences({ ...document, nextFence }, era),
       () => true,
     );
   }
@@ -190,7 +188,7 @@
     if (before === undefined) return;
     const current = this.#orders.applyProgress(before.document);
     const planned = this.#forEra(
-      this.#plan(this.#assignStaleAgain(current)),
+      this.#plan(this.#assignStaleAgain(current, before.era)),
       before,
     );
     if (planned === before.document && !this.#isUnwritten) return;
@@ -221,13 +219,10 @@
    * Assigns ranges again whose owners have seen a higher token, which can only be
    * that of a leader whose rows are lost.
    */
-  #assignStaleAgain(document: RangeDocument): RangeDocument {
-    return this.#isRestored
-      ? assignAgain(
-        document,
-        (range) => range.previous.length === 0 && this.#orders.isStale(range),
-      )
-      : document;
+  #assignStaleAgain(document: RangeDocument, era: number): RangeDocument {
+    return era === 0
+      ? document
+      : assignAgain(document, (range) => this.#orders.isStale(range));
   }
 
   /** Completes a plan with what a restore of the store makes necessary. */
