--- a/dev/soak/soak_deployment.ts
+++ b/dev/soak/soak_deployment.ts
@@ -168,6 +168,23 @@
     return `/only-${version}/`;
   }
 
+  /**
+   * Restores the store from a copy that is taken now.
+   *
+   * @param drill - age of the copy when the store goes away, and for how long it
+   * is away, in milliseconds
+   */
+  async restoreStore(
+    { copyAgeMs, durationMs }: { copyAgeMs: number; durationMs: number },
+  ): Promise<void> {
+    const { signal } = this.#stopped;
+    const copy = this.#rowStore.copy();
+    await hostClock.sleep(copyAgeMs, signal);
+    await this.store.restore(copy, hostClock.sleep(durationMs, signal));
+    // Operators write their rows again.
+    this.changeConfig();
+  }
+
   /** Makes the store discard its change history up to now. */
   discardHistory(): void {
     this.#rowStore.forgotten = this.#rowStore.version;
--- a/dev/soak/soak_fault.ts
+++ b/dev/soak/soak_fault.ts
@@ -42,6 +42,11 @@
     fault: "busy" | "many" | "reset" | "silent" | "lost";
     durationMs: number;
   }
+  /**
+   * The store is away for `durationMs` and comes back with a copy that was taken
+   * `copyAgeMs` before.
+   */
+  | { kind: "store_restore"; copyAgeMs: number; durationMs: number }
   /**
    * The routers and upstreams of a failure domain reach none of the others, and
    * not the store either unless it is reachable.
--- a/dev/soak/soak_plan.ts
+++ b/dev/soak/soak_plan.ts
@@ -9,6 +9,7 @@
   failureDomains: number;
   durationMs: number;
 };
+type RandomKind = Exclude<SoakFault["kind"], "partition" | "store_restore">;
 type ScheduledFault = { atMs: number; fault: SoakFault };
 
 const MIN_FAULT_INTERVAL_MS = 200;
@@ -31,13 +32,18 @@
 const MAX_PARTITION_MS = 6000;
 const MIN_PARTITION_PAUSE_MS = 1000;
 const MAX_PARTITION_PAUSE_MS = 3000;
-const PLANNED_KINDS: readonly Exclude<SoakFault["kind"], "partition">[] = [
+/** Among the seeds with faults, each of these has one restore of the store. */
+const RESTORE_SEED_INTERVAL = 7;
+const MIN_COPY_AGE_MS = 500;
+const MAX_COPY_AGE_MS = 5000;
+const MAX_STORE_AWAY_MS = 4000;
+const PLANNED_KINDS: readonly RandomKind[] = [
   "router_stop",
   "router_reload",
   "upstream_drain",
   "config_change",
 ];
-const RANDOM_KINDS: readonly Exclude<SoakFault["kind"], "partition">[] = [
+const RANDOM_KINDS: readonly RandomKind[] = [
   ...PLANNED_KINDS,
   "router_pause",
   "router_kill",
@@ -127,6 +133,17 @@
     if (atMs >= size.durationMs) break;
     plan.push({ atMs, fault: faultOf(pick(kinds)) });
   }
+  if (!plannedOnly && seed % RESTORE_SEED_INTERVAL === 0) {
+    plan.push({
+      atMs: randomBelow(size.durationMs),
+      fault: {
+        kind: "store_restore",
+        copyAgeMs: randomBetween(MIN_COPY_AGE_MS, MAX_COPY_AGE_MS),
+        durationMs: randomBetween(MIN_FAULT_DURATION_MS, MAX_STORE_AWAY_MS),
+      },
+    });
+    plan.sort((a, b) => a.atMs - b.atMs);
+  }
   if (plannedOnly || seed % PARTITION_SEED_INTERVAL !== 0) return plan;
   for (atMs = MIN_PARTITION_PAUSE_MS; atMs < size.durationMs;) {
     const durationMs = randomBetween(MIN_PARTITION_MS, MAX_PARTITION_MS);
--- a/dev/soak/soak_run.ts
+++ b/dev/soak/soak_run.ts
@@ -187,6 +187,9 @@
           store.fault = "none";
         });
         return;
+      case "store_restore":
+        await this.#recordFault(() => this.#deployment.restoreStore(fault));
+        return;
       case "history_lost":
         this.#deployment.discardHistory();
         return;
--- a/dev/standins/memory_row_store.ts
+++ b/dev/standins/memory_row_store.ts
@@ -112,6 +112,7 @@
     this.rows.clear();
     for (const [id, row] of rows) this.rows.set(id, row);
     this.#version = version;
+    this.forgotten = Math.min(this.forgotten, version);
     this.#changes = [...changes];
     this.era++;
     this.#changeNotifier.notify();
--- a/tests/platform/table_client_test.ts
+++ b/tests/platform/table_client_test.ts
@@ -112,4 +112,65 @@
       assert.equal(read.rows.some(({ key }) => key === fault), applied);
     });
   }
+
+  it("reports the era of the store, and era 0 without the header", async () => {
+    http.sendsEra = false;
+    const read = (await client.readTable("t", signal))._unsafeUnwrap();
+    http.sendsEra = true;
+    assert.equal(read.era, 0);
+  });
+
+  // Guards against a response that a restore has overtaken, e.g. on another
+  // connection: what it says is lost.
+  it("drops responses of an earlier era, and reports the change once", async () => {
+    const store = new MemoryRowStore(systemClock);
+    const server = await new RowStoreServer(store).listen();
+    const changes: { before: number; era: number }[] = [];
+    const own = new TableClient({
+      address: `127.0.0.1:${server.port}`,
+      clock: systemClock,
+      onEraChanged: (change) => changes.push(change),
+    });
+    store.put("t", "a", "1");
+    const copy = store.copy();
+    const first = (await own.readTable("t", signal))._unsafeUnwrap();
+    store.put("t", "a", "lost");
+    await server.restore(copy, Promise.resolve());
+    const second = (await own.readTable("t", signal))._unsafeUnwrap();
+    assert.deepEqual([first.era, second.era], [0, 1]);
+    assert.equal(Buffer.from(second.rows[0]?.value ?? []).toString(), "1");
+    const ahead = await own.waitForChanges(
+      { table: "t", after: 2, waitMs: 0 },
+      signal,
+    );
+    assert.equal(ahead._unsafeUnwrapErr().kind, "history_lost");
+    store.era = 0;
+    const late = await own.transact(write("b", "1"), signal);
+    assert.equal(late._unsafeUnwrapErr().kind, "unknown");
+    assert.deepEqual(changes, [{ before: 0, era: 1 }]);
+    await own.close();
+    server.close();
+  });
+
+  // Guards against a table that is put together from pages of two eras.
+  it("fails a read during which the store is restored", async () => {
+    const store = new MemoryRowStore(systemClock);
+    const server = await new RowStoreServer(store).listen();
+    const own = new TableClient({
+      address: `127.0.0.1:${server.port}`,
+      clock: systemClock,
+    });
+    for (let n = 0; n < 600; n++) store.put("big", `k${n}`, "");
+    const copy = store.copy();
+    const readTable = store.readTable.bind(store);
+    let pages = 0;
+    store.readTable = (...args) => {
+      if (++pages === 2) store.restore(copy);
+      return readTable(...args);
+    };
+    const read = await own.readTable("big", signal);
+    assert.equal(read._unsafeUnwrapErr().kind, "unknown");
+    await own.close();
+    server.close();
+  });
 });
--- a/tests/platform/whole_path_test.ts
+++ b/tests/platform/whole_path_test.ts
@@ -12,8 +12,11 @@
 const STOP_MS = 20_000;
 const CALLERS = 6;
 const CHECK_INTERVAL_MS = 1000;
+/** Less than the TTL of the leader lease, so that the keys stay granted. */
+const AWAY_MS = 300;
+const FEED_WAIT_MS = 1000;
 
-function config(version: number) {
+function config(version: number, prefix = "/a/") {
   return JSON.stringify({
     version: `r${version}`,
     services: [{
@@ -34,7 +37,7 @@
       host: "h.example",
       paths: [{
         name: "r1",
-        prefix: "/a/",
+        prefix,
         kind: "unsafe",
         timeout: "2s",
         targetLatency: "500ms",
@@ -59,8 +62,8 @@
   });
 }
 
-function request(id: string) {
-  return `POST /a/x?y=1 HTTP/1.1\r\nHost: h.example\r\n` +
+function request(id: string, prefix = "/a/") {
+  return `POST ${prefix}x?y=1 HTTP/1.1\r\nHost: h.example\r\n` +
     `Fescuerun-Request-Id: ${id}\r\nFescuerun-Shard-Key: 77\r\n` +
     "Fescuerun-Request-Deadline: 2000\r\nContent-Length: 2\r\n\r\nhi";
 }
@@ -187,4 +190,41 @@
     await router.close();
     upstream.close();
   });
+
+  // Guards against a router that keeps rows of before a restore of the store or
+  // ignores those after it, whose versions are lower, that returns to an older
+  // configuration, and that loses the grants of keys.
+  it("serves through a restore of the store and follows it afterwards", async () => {
+    const upstream = await startKeyedUpstream();
+    const router = await PlatformRouter.start([
+      ["op", "config", config(1)],
+      ["servers", "i-1", registryRow(upstream.port)],
+    ]);
+    const { memory } = router;
+    const serves = async (prefix: string) => {
+      const caller = new RawCaller(router.port).write(request("id-1", prefix));
+      return /^HTTP\/1.1 200 /.test(await caller.until(/\r\n\r\n/));
+    };
+    const writtenInEra1 = () =>
+      [...memory.rows.values()].some(({ table, value }) =>
+        table === "fescuerun-keeper" &&
+        Buffer.from(value).toString().includes('"era":1')
+      );
+    await router.until(() => upstream.grants.length > 0);
+    await router.until(() => serves("/a/"));
+    const copy = memory.copy();
+    for (let n = 0; n < 2000; n++) memory.put("op", "other", `${n}`);
+    memory.put("op", "config", config(2, "/b/"));
+    await router.until(() => serves("/b/"));
+    await router.restoreStore(copy, AWAY_MS);
+    await router.until(writtenInEra1);
+    // Longer than the wait of the feed of the operators' table.
+    await systemClock.sleep(FEED_WAIT_MS);
+    assert.ok(await serves("/b/"), "older configuration in use");
+    memory.put("op", "config", config(3, "/c/"));
+    assert.ok(memory.version < 2000, "the version is not lower than before");
+    await router.until(() => serves("/c/"));
+    await router.close();
+    upstream.close();
+  });
 });
--- a/tests/soak/soak_plan_test.ts
+++ b/tests/soak/soak_plan_test.ts
@@ -29,7 +29,7 @@
       for (const kind of found) kinds.add(kind);
       if (found.every((kind) => planned.includes(kind))) plannedOnly.push(seed);
     }
-    assert.equal(kinds.size, 15);
+    assert.equal(kinds.size, 16);
     assert.deepEqual(plannedOnly, [3, 6, 9, 12, 15, 18, 21, 24, 27, 30]);
   });
 
--- a/tests/support/platform_router.ts
+++ b/tests/support/platform_router.ts
@@ -19,13 +19,13 @@
   readonly metrics = new DirectMetrics();
   readonly #stop = new AbortController();
   readonly #ports: readonly number[];
-  readonly #http: { port: number; close: () => void };
+  readonly #http: RowStoreServer;
   readonly #store: TableClient;
   readonly #ended: Promise<void>;
 
   private constructor(
     memory: MemoryRowStore,
-    http: { port: number; close: () => void },
+    http: RowStoreServer,
     ports: readonly number[],
     stopMs: number,
   ) {
@@ -124,6 +124,19 @@
     }
   }
 
+  /**
+   * Restores the store from a copy after it was away for a moment.
+   *
+   * @param copy - what the store held before
+   * @param awayMs - time for which it is unreachable, in milliseconds
+   */
+  restoreStore(
+    copy: ReturnType<MemoryRowStore["copy"]>,
+    awayMs: number,
+  ): Promise<void> {
+    return this.#http.restore(copy, systemClock.sleep(awayMs));
+  }
+
   /** Starts the graceful stop. */
   stop(): void {
     this.#stop.abort();
