--- a/src/rows/changes_query.ts
+++ b/src/rows/changes_query.ts
@@ -12,6 +12,8 @@
      * table and key. Relays of earlier releases ignore it.
      */
     rows: z.record(z.string(), z.record(z.string(), z.number())).optional(),
+    /** Era of the store to which these versions belong, by table; 0 if absent. */
+    eras: z.record(z.string(), z.number()).optional(),
   }),
   result: z.object({
     /** Changes by table, for the tables that the called VM can relay. */
--- a/src/rows/table_relay.ts
+++ b/src/rows/table_relay.ts
@@ -20,6 +20,7 @@
   logger: Logger;
   signal: AbortSignal;
 };
+type Query = z.infer<typeof ChangesQuery.params>;
 
 /**
  * VMs read larger changes from the store. Its link is faster than that of a
@@ -126,7 +127,7 @@
     const answer = await peers.call({
       peerUrl,
       method: ChangesQuery.method,
-      params: { known: this.#knownVersions(), rows: this.#rowVersions() },
+      params: { ...this.#knownVersions(), rows: this.#rowVersions() },
       result: ChangesQuery.result,
       timeoutMs: QUERY_TIMEOUT_MS,
     }, signal);
@@ -146,12 +147,15 @@
     }
   }
 
-  #knownVersions(): Record<string, number> {
+  #knownVersions(): Query {
     const known: Record<string, number> = {};
-    for (const { table, version } of this.#opts.followers) {
-      if (version !== undefined) known[table] = version;
+    const eras: Record<string, number> = {};
+    for (const { table, version, era } of this.#opts.followers) {
+      if (version === undefined) continue;
+      known[table] = version;
+      if (era > 0) eras[table] = era;
     }
-    return known;
+    return Object.keys(eras).length === 0 ? { known } : { known, eras };
   }
 
   #rowVersions(): Record<string, Record<string, number>> {
@@ -162,14 +166,16 @@
     return versions;
   }
 
-  #changesSince(
-    { known, rows }: z.infer<typeof ChangesQuery.params>,
-  ): Record<string, TableChanges> {
+  #changesSince({ known, eras, rows }: Query): Record<string, TableChanges> {
     const relayed: Record<string, TableChanges> = {};
     for (const follower of this.#opts.followers) {
       const version = known[follower.table];
       if (version === undefined) continue;
-      const found = follower.changesSince(version, rows?.[follower.table]);
+      const found = follower.changesSince(
+        version,
+        eras?.[follower.table],
+        rows?.[follower.table],
+      );
       if (found !== undefined && isSmallEnough(found)) {
         relayed[follower.table] = found;
       }
