revert: admission by the leader for overloaded owners of keys

Change: is taken back; the spread of retry delays stays, with its test.

Conclusion: to limit by rate, the leader would have to know the requests that owners run, without returns. Load that owners report themselves is the better signal.

--- a/src/direct/choose_upstream.ts
+++ b/src/direct/choose_upstream.ts
@@ -12,8 +12,6 @@
   service: string;
   /** Number of the key; required if the service is keyed. */
   key: number | undefined;
-  /** Whether the request has been sent or has waited before. */
-  isRepeated?: boolean;
   /** Upstreams that are not chosen again for this request. */
   tried: ReadonlySet<Upstream>;
   /** Identity and location of this VM. */
@@ -60,11 +58,6 @@
 const ADMISSION_FRACTION = 0.85;
 /** Admission fraction of requests that are not the service's most urgent. */
 const ADMISSION_FRACTION_LESS_URGENT = 0.5;
-/**
- * Factor by which more of the urgent requests for an overloaded owner's keys
- * are admitted, where the service has less urgent ones.
- */
-const URGENT_ADMISSION_FACTOR = 1.5;
 /**
  * Longest wait for the reassignment of a key, which takes a few hundred
  * milliseconds if it is planned. Also bounds the wait for the rate limit of a
@@ -80,8 +73,6 @@
 /** Retry delay for callers if no upstream can be used. */
 const UNAVAILABLE_RETRY_AFTER_MS = 500;
 const MIN_OVERLOADED_RETRY_AFTER_MS = 150;
-/** Within this time, keys of an overloaded owner have moved to others. */
-const OVERLOADED_OWNER_WAIT_MS = 1000;
 /**
  * Retry delays vary by this fraction in both directions, so that callers that
  * were refused together do not return together.
@@ -110,11 +101,8 @@
       retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS,
     };
   }
-  const table = view.ranges(service);
-  const range = table?.find(key);
-  if (table === undefined || range === undefined) {
-    return unavailable("key has no owner");
-  }
+  const range = view.ranges(service)?.find(key);
+  if (range === undefined) return unavailable("key has no owner");
   if (range.previous.length > 0) {
     const previousRegistered = range.previous.every(({ id, incarnation }) =>
       view.upstream(id)?.entry.incarnation === incarnation
@@ -142,31 +130,9 @@
     };
   }
   if (!isHome(query, owner)) return unavailable("owner is in another region");
-  const admission = table.admission(owner.entry.id);
-  if (query.isRepeated !== true && !isAdmitted(query, admission)) {
-    return overloaded(
-      "the owner of the key is overloaded",
-      OVERLOADED_OWNER_WAIT_MS,
-    );
-  }
   return chooseAmong(query, [owner]);
 }
 
-/**
- * Returns whether a request is among the admitted fraction, which is larger for
- * the more urgent ones of a service.
- */
-function isAdmitted(
-  { view, service, route }: Query,
-  fraction: number,
-): boolean {
-  if (fraction >= 1) return true;
-  const factor = view.isMoreUrgent(service, route.priority)
-    ? URGENT_ADMISSION_FACTOR
-    : 1;
-  return Math.random() < fraction * factor;
-}
-
 function usableUpstreams(query: Query): Upstream[] {
   const { view, service, tried } = query;
   const found: Upstream[] = [];
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -350,7 +350,6 @@
       route: state.route,
       service: state.service,
       key: state.call.key,
-      isRepeated: state.steps.length > 0,
       tried: state.tried,
       location,
       workMs: this.#opts.work.mean(state.route),
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -85,8 +85,8 @@
   #config: RoutingConfig | undefined;
   #matcher = new RouteMatcher([]);
   #policies = new Map<string, ServicePolicy>();
-  /** Priority numbers of the routes of each service. */
-  #priorities = new Map<string, number[]>();
+  /** Priority number of the most urgent route of each service. */
+  #minPriorities = new Map<string, number>();
   /** Evacuated failure domains, with the time from which that counts. */
   #evacuated: ReadonlyMap<string, number> = new Map();
   #registryRead = false;
@@ -261,19 +261,7 @@
    * @returns whether another route of the service is more urgent
    */
   isLessUrgent(service: string, priority: number): boolean {
-    return this.#priorities.get(service)?.some((other) => other < priority) ??
-      false;
-  }
-
-  /**
-   * @param service - name of a service
-   * @param priority - priority number of one of its routes
-   * @returns whether no route of the service is more urgent, and some are less
-   */
-  isMoreUrgent(service: string, priority: number): boolean {
-    const all = this.#priorities.get(service) ?? [];
-    return all.every((other) => other >= priority) &&
-      all.some((other) => other > priority);
+    return priority > (this.#minPriorities.get(service) ?? priority);
   }
 
   /**
@@ -304,7 +292,7 @@
     this.#policies = new Map(
       config.services.map((policy) => [policy.name, policy]),
     );
-    this.#priorities = prioritiesByService(config);
+    this.#minPriorities = minPriorities(config);
     this.#opts.logger.info({
       before,
       version: config.version,
@@ -590,14 +578,12 @@
     : table.era > before.era;
 }
 
-function prioritiesByService(config: RoutingConfig): Map<string, number[]> {
-  const priorities = new Map<string, number[]>();
+function minPriorities(config: RoutingConfig): Map<string, number> {
+  const lowest = new Map<string, number>();
   for (const { parts, priority } of config.routes) {
     for (const { service } of parts) {
-      const known = priorities.get(service) ?? [];
-      if (!known.includes(priority)) known.push(priority);
-      priorities.set(service, known);
+      lowest.set(service, Math.min(priority, lowest.get(service) ?? priority));
     }
   }
-  return priorities;
+  return lowest;
 }
--- a/src/ranges/key_load.ts
+++ b/src/ranges/key_load.ts
@@ -11,8 +11,6 @@
  * weighted moving average.
  */
 export class KeyLoad {
-  /** Time over which the rates are averaged, in seconds. */
-  static readonly sampleS = RATE_TIME_CONSTANT_MS / MS_PER_S;
   readonly #rates = new Map<number, number>();
   #decayedAt: number;
 
--- a/src/ranges/plan_ranges.ts
+++ b/src/ranges/plan_ranges.ts
@@ -64,12 +64,10 @@
   readonly #upstreams: Map<string, UpstreamLoad>;
   #ranges: KeyRange[];
   #nextFence: number;
-  readonly #before: RangeDocument | undefined;
   changed = false;
 
   constructor({ document, upstreams, rates }: PlanInput) {
     this.#loads = new RangeLoads(rates);
-    this.#before = document;
     this.#ranges = [...document?.ranges ?? []];
     this.#nextFence = document?.nextFence ?? 1;
     this.#upstreams = new Map(
@@ -79,12 +77,7 @@
   }
 
   get document(): RangeDocument {
-    return {
-      ...this.#before,
-      schema: 1,
-      nextFence: this.#nextFence,
-      ranges: this.#ranges,
-    };
+    return { schema: 1, nextFence: this.#nextFence, ranges: this.#ranges };
   }
 
   /** Assigns all keys in proportion to capacity if none are assigned yet. */
--- a/src/ranges/range_document.ts
+++ b/src/ranges/range_document.ts
@@ -13,10 +13,5 @@
   era: z.number().int().nonnegative().optional(),
   /** In ascending order of keys. */
   ranges: z.array(KeyRange),
-  /**
-   * Fractions of requests that VMs admit for the keys of overloaded owners, by
-   * id of the owner; absent if no owner is overloaded.
-   */
-  admission: z.record(z.string(), z.number().min(0).max(1)).optional(),
 });
 export type RangeDocument = z.infer<typeof RangeDocument>;
--- a/src/ranges/range_table.ts
+++ b/src/ranges/range_table.ts
@@ -32,12 +32,4 @@
     }
     return undefined;
   }
-
-  /**
-   * @param owner - id of an upstream
-   * @returns fraction of the requests for its keys that VMs admit
-   */
-  admission(owner: string): number {
-    return this.document.admission?.[owner] ?? 1;
-  }
 }
--- a/src/ranges/service_ranges.ts
+++ b/src/ranges/service_ranges.ts
@@ -7,7 +7,7 @@
 import { assignAgain } from "./assign_again.ts";
 import { encodeRangeDocument } from "./encode_range_document.ts";
 import type { LeaderLease } from "./leader_lease.ts";
-import { KeyLoad } from "./key_load.ts";
+import type { KeyLoad } from "./key_load.ts";
 import { planRanges } from "./plan_ranges.ts";
 import type { RangeDocument } from "./range_document.ts";
 import type { RangeGrants } from "./range_grants.ts";
@@ -16,7 +16,6 @@
 import { withUnknownOwner } from "./with_unknown_owner.ts";
 import { RangeTable } from "./range_table.ts";
 import { readRangeTable } from "./read_range_table.ts";
-import { withAdmission } from "./with_admission.ts";
 
 type Options = {
   service: string;
@@ -274,31 +273,14 @@
             : capacityPerS,
         };
       });
-    const rates = load.rates(now);
     const planned = planRanges({
       document,
       upstreams,
-      rates,
+      rates: load.rates(now),
       // Other moves can wait until all owners are known.
       onlyUnusable: this.#orders.mayHaveUnknownOwners,
     });
-    if (planned !== undefined) this.#logMoves(planned);
-    const admitted = withAdmission(planned ?? document, {
-      upstreams,
-      rates,
-      sampleS: KeyLoad.sampleS,
-    });
-    if (admitted.admission !== document.admission) {
-      logger.info(
-        { service, before: document.admission, admission: admitted.admission },
-        "admission to overloaded key owners changed",
-      );
-    }
-    return admitted === document ? undefined : admitted;
-  }
-
-  #logMoves(planned: RangeDocument): void {
-    const { service, logger } = this.#opts;
+    if (planned === undefined) return undefined;
     logger.info({
       service,
       version: this.#table?.version,
@@ -312,5 +294,6 @@
           from: previous.map(({ id }) => id),
         })),
     }, "key owners planned");
+    return planned;
   }
 }
--- a/tests/direct/choose_upstream_test.ts
+++ b/tests/direct/choose_upstream_test.ts
@@ -3,7 +3,6 @@
 import { chooseUpstream } from "../../src/direct/choose_upstream.ts";
 import { preferredUpstreams } from "../../src/direct/preferred_upstreams.ts";
 import type { Upstream } from "../../src/direct/upstream.ts";
-import { RangeTable } from "../../src/ranges/range_table.ts";
 import { FleetRig } from "../support/fleet_rig.ts";
 
 type Query = Parameters<typeof chooseUpstream>[0];
@@ -411,51 +410,6 @@
   });
 });
 
-describe("chooseUpstream for the keys of an overloaded owner", () => {
-  const REQUESTS = 2000;
-
-  function admittedFraction(
-    priorities: readonly number[],
-    fields: Partial<Query> = {},
-  ): number {
-    const rig = FleetRig.manual();
-    const routes = priorities.map((priority, index) =>
-      rig.route({ name: `r${index}`, prefix: `/${index}/`, priority })
-    );
-    const [route = rig.route()] = routes;
-    rig.configure(routes, [{ keyed: true }]);
-    rig.upstream({ id: "u-1" });
-    rig.owners({ id: "u-1" });
-    const { document } = rig.view.ranges("s1") ?? {};
-    assert.ok(document !== undefined, "no owners");
-    rig.view.setRanges(
-      "s1",
-      new RangeTable(99, { ...document, admission: { "u-1": 0.4 } }),
-    );
-    let sent = 0;
-    for (let request = 0; request < REQUESTS; request++) {
-      const choice = choose(rig, { route, key: 7, ...fields });
-      if (choice.kind === "send") sent++;
-    }
-    return sent / REQUESTS;
-  }
-
-  // Load pattern: one key gets more requests than its owner can serve. Guards
-  // against a queue in which all requests become late.
-  it("admits the fraction that the leader has set", () => {
-    assert.ok(Math.abs(admittedFraction([1]) - 0.4) < 0.06, "one priority");
-    assert.ok(Math.abs(admittedFraction([2, 1]) - 0.4) < 0.06, "less urgent");
-  });
-
-  it("admits more of the urgent requests", () => {
-    assert.ok(Math.abs(admittedFraction([1, 2]) - 0.6) < 0.06, "urgent");
-  });
-
-  it("does not refuse a request that has waited or was sent before", () => {
-    assert.equal(admittedFraction([1], { isRepeated: true }), 1);
-  });
-});
-
 // Guards against callers that were refused together and return together.
 it("spreads the retry delays of refused requests", () => {
   const rig = FleetRig.manual();
