fix(platform): send the router's headers before the client's

A Node.js upstream keeps only the first 2,000 header lines of a request, so a client with more could push out the request id, the deadline and the expected instance. An object lists integer names first, so that the order alone would not be enough: the headers are now a map, which undici sends in its order.

Checked by a case in tests/platform/http_headers_test.ts.

--- a/src/direct/wire_protocol.ts
+++ b/src/direct/wire_protocol.ts
@@ -17,13 +17,14 @@
    * @param call - the caller's request
    * @param upstreamId - the upstream that is to run it
    * @param remainingMs - time until the request's deadline, in milliseconds
-   * @returns all headers of the request to the upstream
+   * @returns all headers of the request to the upstream, in the order in which
+   * they are sent
    */
   upstreamHeaders(
     call: CallerCall,
     upstreamId: string,
     remainingMs: number,
-  ): Record<string, string | string[]>;
+  ): ReadonlyMap<string, string | string[]>;
 
   /**
    * @param call - the caller's request
--- a/src/upstreams/upstream_exchange.ts
+++ b/src/upstreams/upstream_exchange.ts
@@ -18,7 +18,10 @@
 type Options = {
   connection: UpstreamConnection;
   request: Pick<DispatchRequest, "method" | "target" | "body">;
-  headers: Record<string, string | string[]>;
+  /** By name; those of a map are sent in its order. */
+  headers:
+    | Record<string, string | string[]>
+    | ReadonlyMap<string, string | string[]>;
   /**
    * Called when the connection is established, before the first byte is
    * written.
--- a/tests/platform/http_headers_test.ts
+++ b/tests/platform/http_headers_test.ts
@@ -41,13 +41,36 @@
   }
 
   it("sends the upstream's id and the remaining time instead of the caller's", () => {
-    const headers = httpHeaders.upstreamHeaders(call, "i-1", 812.7);
+    const headers = Object.fromEntries(
+      httpHeaders.upstreamHeaders(call, "i-1", 812.7),
+    );
     assert.equal(headers["fescuerun-expected-instance"], "i-1");
     assert.equal(headers["fescuerun-request-deadline"], "812");
     assert.equal(headers["fescuerun-shard-key"], "7");
     assert.equal(headers["x-own"], "1");
   });
 
+  // A Node.js upstream keeps only the first 2,000 header lines, and an object
+  // lists integer names first. Guards against a client whose many headers push
+  // out those of the router, and against its own copies of them.
+  it("sends the router's headers before the client's", () => {
+    const headers = {
+      "7": "x",
+      "fescuerun-request-id": "own",
+    };
+    const sent = (call: CallerCall) =>
+      [
+        ...httpHeaders.upstreamHeaders(call, "i-1", 812.7),
+      ].map(([name, value]) => `${name}=${String(value)}`);
+    const own = [
+      "fescuerun-request-id=r1",
+      "fescuerun-request-deadline=812",
+      "fescuerun-expected-instance=i-1",
+      "fescuerun-shard-key=7",
+    ];
+    assert.deepEqual(sent({ ...call, headers }), [...own, "7=x"]);
+  });
+
   const answers: [string, number, Record<string, string>, object][] = [
     ["a signed response with its load", 200, {
       "fescuerun-request-id": "r1",
