feat(tenants): API keys, priorities and regions of tenants

Where the configuration has tenants, a request on a route that is not public needs one API key of the configuration, checked before its body is read; others get 401 unknown_credential. Upstreams get the tenant's name.

--- a/src/base/refusal_code.ts
+++ b/src/base/refusal_code.ts
@@ -3,6 +3,7 @@
 /** Why the router, and not an upstream, answered a request. */
 export const RefusalCode = z.enum([
   "unknown_entry",
+  "unknown_credential",
   "missing_key",
   "bad_key",
   "body_too_large",
--- a/src/base/refusal_next_step.ts
+++ b/src/base/refusal_next_step.ts
@@ -3,6 +3,7 @@
 /** What a refused caller should do next; sent as `next` in the answer. */
 export const REFUSAL_NEXT_STEP: Readonly<Record<RefusalCode, string>> = {
   unknown_entry: "corrects host and path",
+  unknown_credential: "sends one valid API key",
   missing_key: "sends the key where the entry expects it",
   bad_key: "sends one key that is not empty and not too long",
   body_too_large: "sends less than `data.maxBodyBytes`",
--- a/src/base/refusal_status.ts
+++ b/src/base/refusal_status.ts
@@ -3,6 +3,7 @@
 /** HTTP status of each refusal code. */
 export const REFUSAL_STATUS: Readonly<Record<RefusalCode, number>> = {
   unknown_entry: 404,
+  unknown_credential: 401,
   missing_key: 400,
   bad_key: 400,
   body_too_large: 413,
--- a/src/direct/caller_call.ts
+++ b/src/direct/caller_call.ts
@@ -1,3 +1,6 @@
+import type { RequestCredential } from "../tenants/request_credential.ts";
+import type { Tenant } from "../tenants/tenant.ts";
+
 /** A caller's request, after its body has been read completely. */
 export type CallerCall = {
   /** Chosen by the caller. */
@@ -18,4 +21,8 @@
   deadlineMs: number | undefined;
   /** Number of the key, for keyed services. */
   key: number | undefined;
+  /** Its API key; absent counts as none. */
+  credential?: RequestCredential;
+  /** Set by the router; absent if no key was required. */
+  tenant?: Tenant;
 };
--- a/src/direct/direct_listener.ts
+++ b/src/direct/direct_listener.ts
@@ -10,6 +10,7 @@
 import { endToEndHeaders } from "../links/end_to_end_headers.ts";
 import { hasBody } from "../links/has_body.ts";
 import { writeRefusal } from "../links/write_refusal.ts";
+import { RequestCredential } from "../tenants/request_credential.ts";
 import { withTimeout } from "../vms/with_timeout.ts";
 import { afterNextPoll } from "../base/after_next_poll.ts";
 import { CallerBody } from "./caller_body.ts";
@@ -22,7 +23,7 @@
 type Options = {
   clock: Clock;
   logger: Logger;
-  router: Pick<DirectRouter, "handle" | "timeoutMs" | "stopWithin">;
+  router: Pick<DirectRouter, "admit" | "handle" | "timeoutMs" | "stopWithin">;
   protocol: WireProtocol;
   /** Current limit of a request's body, in bytes. */
   maxBodyBytes: () => number;
@@ -162,13 +163,25 @@
     const callerBody = new CallerBody(req, this.#bodyMemory);
     res.once("close", () => callerBody.release());
     try {
-      if (expectsContinue) res.writeContinue();
       const target = req.url ?? "/";
+      const { host } = req.headers;
+      const credential = new RequestCredential(() =>
+        protocol.readCredential(req.rawHeaders)
+      );
+      const head = { requestId, host, target, credential };
+      const refused = await router.admit(head);
+      if (refused !== undefined) {
+        // Whether the caller sends the body after this answer is not known.
+        if (expectsContinue) res.shouldKeepAlive = false;
+        this.#answer(req, res, requestId, refused);
+        return;
+      }
+      if (expectsContinue) res.writeContinue();
       const read = hasBody(req)
         ? await this.#readBody(callerBody, {
           maxWaitMs: Math.min(
             headerFields.deadlineMs ?? MAX_BODY_WAIT_MS,
-            router.timeoutMs(req.headers.host, target) ?? MAX_BODY_WAIT_MS,
+            router.timeoutMs(host, target) ?? MAX_BODY_WAIT_MS,
           ),
           disconnected: disconnected.signal,
         })
@@ -183,10 +196,8 @@
         return;
       }
       const call: CallerCall = {
-        requestId,
+        ...head,
         method: req.method ?? "GET",
-        target,
-        host: req.headers.host,
         headers: endToEndHeaders(req.rawHeaders),
         body: read.body,
         receivedAt,
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -2,6 +2,8 @@
 import type { Logger } from "../base/logger.ts";
 import type { RefusalCode } from "../base/refusal_code.ts";
 import type { FleetRetryBudget } from "../limits/fleet_retry_budget.ts";
+import type { TenantLimiter } from "../limits/tenant_limiter.ts";
+import type { Tenant } from "../tenants/tenant.ts";
 import { waitForChange } from "../vms/wait_for_change.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallState } from "./call_state.ts";
@@ -44,7 +46,14 @@
    * @returns milliseconds since the configuration was last known to be current
    */
   configAgeMs: () => number;
+  /** Rate limits of tenants; by default there are none. */
+  limiter?: TenantLimiter;
 };
+/** What of a request is known before its body is read. */
+type CallHead = Pick<
+  CallerCall,
+  "requestId" | "host" | "target" | "credential"
+>;
 
 /**
  * Attempts of one request that may fail before anything is sent. A failed
@@ -93,6 +102,7 @@
 const STOP_WORK_FACTOR = 2;
 /** Retry delay for refused callers if the refusal itself gives none. */
 const DEFAULT_RETRY_AFTER_MS = 250;
+const NO_LIMITS: TenantLimiter = { admit: () => ({ kind: "admitted" }) };
 
 /**
  * Routes callers' requests directly to upstreams: chooses an upstream for each
@@ -126,6 +136,31 @@
     return match.kind === "route" ? match.route.timeoutMs : undefined;
   }
 
+  /**
+   * Checks the API key of a request, and counts the request against the rate
+   * limit of its tenant. To be called before the body is read. A request that
+   * arrives before the first configuration is checked by `handle`.
+   *
+   * @param head - the request without its body
+   * @returns the refusal; undefined if the request may be passed to `handle`
+   */
+  async admit(head: CallHead): Promise<CallOutcome | undefined> {
+    const { view } = this.#opts;
+    if (view.config === undefined) return undefined;
+    const { host, target, credential } = head;
+    const selection = view.snapshot.select(host, target, credential);
+    switch (selection.kind) {
+      case "unknown_credential":
+        return this.#refuseCredential(head);
+      case "route":
+        return selection.tenant && this.#admitTenant(head, selection.tenant);
+      case "none":
+      case "unusable":
+      case "no_region":
+        return undefined;
+    }
+  }
+
   /**
    * Refuses requests from now on that will probably not end in time.
    *
@@ -151,7 +186,8 @@
   ): Promise<CallOutcome> {
     const { view, clock, budget } = this.#opts;
     if (!view.complete) await this.#waitForStart(call, disconnected);
-    if (view.config === undefined) {
+    const { config } = view;
+    if (config === undefined) {
       return this.#refuseUnrouted(
         call,
         "router_not_current",
@@ -159,7 +195,11 @@
         MAX_STARTUP_WAIT_MS,
       );
     }
-    const match = view.matcher.match(call.host, call.target);
+    const match = view.snapshot.select(
+      call.host,
+      call.target,
+      call.credential,
+    );
     switch (match.kind) {
       case "none":
         return this.#refuseUnrouted(call, "unknown_entry", "no route matches");
@@ -170,10 +210,25 @@
           "the configuration of the route cannot be used",
           UNUSABLE_ROUTE_RETRY_AFTER_MS,
         );
+      case "unknown_credential":
+        return this.#refuseCredential(call);
+      case "no_region":
+        return this.#refuseUnrouted(
+          call,
+          "upstream_unavailable",
+          "no region is allowed to both the route and the tenant",
+          UNUSABLE_ROUTE_RETRY_AFTER_MS,
+          match.tenant,
+        );
       case "route":
         break;
     }
-    const { route } = match;
+    const { route, tenant } = match;
+    // The configuration may have changed since the request was admitted.
+    if (tenant !== undefined) {
+      const refused = await this.#admitTenant(call, tenant);
+      if (refused !== undefined) return refused;
+    }
     const service = this.#splitter.next(route);
     const keyed = view.policy(service)?.keyed ?? false;
     if (keyed && call.key !== undefined) this.#opts.countKey(service, call.key);
@@ -189,14 +244,15 @@
         "draining",
         "the router stops before the request could end",
         0,
+        tenant,
       );
     }
     const state: CallState = {
-      call,
+      call: tenant === undefined ? call : { ...call, tenant },
       route,
       service,
       keyed,
-      config: view.config.version,
+      config: config.version,
       configAgeMs: this.#configAgeMs(),
       deadlineAt: call.receivedAt + limitMs,
       tried: new Set(),
@@ -345,6 +401,15 @@
   #choose(state: CallState): Choice {
     const { view, clock, location } = this.#opts;
     const now = clock.now();
+    const { tenant, credential } = state.call;
+    if (tenant !== undefined && !view.snapshot.accepts(credential)) {
+      return {
+        kind: "refuse",
+        code: "unknown_credential",
+        reason: "the API key has been removed",
+        retryAfterMs: 0,
+      };
+    }
     return chooseUpstream({
       view,
       route: state.route,
@@ -481,22 +546,59 @@
         outcome: state.mayHaveRun ? "outcome_unknown" : "not_run",
         message,
       },
-      retryAfterMs: state.mayHaveRun
+      retryAfterMs: state.mayHaveRun || code === "unknown_credential"
         ? undefined
         : retryAfterMs ?? DEFAULT_RETRY_AFTER_MS,
     };
   }
 
+  #refuseCredential(head: CallHead): CallOutcome {
+    return this.#refuseUnrouted(
+      head,
+      "unknown_credential",
+      "the route requires one valid API key",
+    );
+  }
+
+  /**
+   * Counts a request against the rate limit of its tenant, unless that has
+   * already been done. Returns the refusal if the limit is reached.
+   */
+  async #admitTenant(
+    head: CallHead,
+    tenant: Tenant,
+  ): Promise<CallOutcome | undefined> {
+    const { credential } = head;
+    if (credential?.admittedTenant === tenant.name) return undefined;
+    const { limiter = NO_LIMITS } = this.#opts;
+    const admission = await limiter.admit(tenant);
+    switch (admission.kind) {
+      case "admitted":
+        if (credential !== undefined) credential.admittedTenant = tenant.name;
+        return undefined;
+      case "limited":
+        return this.#refuseUnrouted(
+          head,
+          "limit_exceeded",
+          "the rate limit of the tenant is reached",
+          Math.ceil(admission.retryAfterMs),
+          tenant,
+        );
+    }
+  }
+
   #refuseUnrouted(
-    call: CallerCall,
+    call: CallHead,
     code: RefusalCode,
     message: string,
     retryAfterMs?: number,
+    tenant?: Tenant,
   ): CallOutcome {
     const { logger, metrics, view } = this.#opts;
     metrics.requests.inc({ service: "", outcome: code });
     logger.info({
       reqId: call.requestId,
+      tenant: tenant?.name,
       outcome: code,
       config: view.config?.version,
       configAgeMs: this.#configAgeMs(),
@@ -527,6 +629,7 @@
     logger.info({
       reqId: call.requestId,
       route: route.name,
+      tenant: call.tenant?.name,
       service,
       key: call.key,
       outcome: result,
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -5,8 +5,10 @@
 import type { RowOrigin } from "../rows/row_origin.ts";
 import { IdleLimit } from "../upstreams/idle_limit.ts";
 import { areConnectionsScarce } from "./are_connections_scarce.ts";
-import { RouteMatcher } from "./route_matcher.ts";
+import { mostUrgentPriorities } from "./most_urgent_priorities.ts";
+import type { RouteMatcher } from "./route_matcher.ts";
 import type { RoutingConfig } from "./routing_config.ts";
+import { RoutingSnapshot } from "./routing_snapshot.ts";
 import type { ServicePolicy } from "./service_policy.ts";
 import { Upstream } from "./upstream.ts";
 import type { UpstreamEntry } from "./upstream_entry.ts";
@@ -76,9 +78,9 @@
   readonly #leaving = new Map<string, { incarnation: number; at: number }>();
   readonly #ranges = new Map<string, RangeTable>();
   #config: RoutingConfig | undefined;
-  #matcher = new RouteMatcher([]);
+  #snapshot = new RoutingSnapshot({ routes: [], unusableRoutes: [] });
   #policies = new Map<string, ServicePolicy>();
-  /** Priority number of the most urgent route of each service. */
+  /** Priority number of the most urgent requests of each service. */
   #minPriorities = new Map<string, number>();
   /** Evacuated failure domains, with the time from which that counts. */
   #evacuated: ReadonlyMap<string, number> = new Map();
@@ -122,7 +124,14 @@
    * @returns matcher for the routes of the newest configuration
    */
   get matcher(): RouteMatcher {
-    return this.#matcher;
+    return this.#snapshot.matcher;
+  }
+
+  /**
+   * @returns routes and tenants of the newest configuration
+   */
+  get snapshot(): RoutingSnapshot {
+    return this.#snapshot;
   }
 
   /**
@@ -241,8 +250,8 @@
 
   /**
    * @param service - name of a service
-   * @param priority - priority number of one of its routes
-   * @returns whether another route of the service is more urgent
+   * @param priority - priority number of a request to it
+   * @returns whether other requests to the service are more urgent
    */
   isLessUrgent(service: string, priority: number): boolean {
     return priority > (this.#minPriorities.get(service) ?? priority);
@@ -272,15 +281,16 @@
     const before = this.#config?.version;
     if (before !== undefined && config.version <= before) return;
     this.#config = config;
-    this.#matcher = new RouteMatcher(config.routes, config.unusableRoutes);
+    this.#snapshot = new RoutingSnapshot(config);
     this.#policies = new Map(
       config.services.map((policy) => [policy.name, policy]),
     );
-    this.#minPriorities = minPriorities(config);
+    this.#minPriorities = mostUrgentPriorities(config);
     this.#opts.logger.info({
       before,
       version: config.version,
       routes: config.routes.length,
+      tenants: config.tenants?.length,
       source: origin?.source,
       latenessMs: origin === undefined
         ? undefined
@@ -532,13 +542,3 @@
     this.changed.notify();
   }
 }
-
-function minPriorities(config: RoutingConfig): Map<string, number> {
-  const lowest = new Map<string, number>();
-  for (const { parts, priority } of config.routes) {
-    for (const { service } of parts) {
-      lowest.set(service, Math.min(priority, lowest.get(service) ?? priority));
-    }
-  }
-  return lowest;
-}
--- a/src/direct/route.ts
+++ b/src/direct/route.ts
@@ -35,5 +35,7 @@
   ),
   /** Regions whose upstreams may serve the request; empty means all. */
   homeRegions: z.array(z.string()),
+  /** Whether its requests need no API key. */
+  public: z.boolean().optional(),
 });
 export type Route = z.infer<typeof Route>;
--- a/src/direct/wire_protocol.ts
+++ b/src/direct/wire_protocol.ts
@@ -13,6 +13,14 @@
     headers: Headers,
   ): Partial<Pick<CallerCall, "requestId" | "deadlineMs" | "key">>;
 
+  /**
+   * @param rawHeaders - names and values of a caller's request, alternating, as
+   * received
+   * @returns the bytes of its API key; undefined if it has none, several, or an
+   * empty one
+   */
+  readCredential(rawHeaders: readonly string[]): Uint8Array | undefined;
+
   /**
    * @param call - the caller's request
    * @param upstreamId - the upstream that is to run it
--- a/src/entry/classify_refusal.ts
+++ b/src/entry/classify_refusal.ts
@@ -32,6 +32,7 @@
     case "deadline_exceeded":
       return "deadline_before_send";
     case "unknown_entry":
+    case "unknown_credential":
     case "missing_key":
     case "bad_key":
     case "body_too_large":
--- a/tests/direct/direct_listener_test.ts
+++ b/tests/direct/direct_listener_test.ts
@@ -48,6 +48,7 @@
         await systemClock.sleep(5000, gate.signal);
         return answered({});
       },
+      admit: () => Promise.resolve(undefined),
       timeoutMs: () => timeoutMs,
       stopWithin: () => undefined,
     },
@@ -70,6 +71,7 @@
     logger: silentLogger(),
     router: {
       handle: () => Promise.resolve(outcome),
+      admit: () => Promise.resolve(undefined),
       timeoutMs: () => 5000,
       stopWithin: () => undefined,
     },
--- a/tests/platform/http_headers_test.ts
+++ b/tests/platform/http_headers_test.ts
@@ -57,6 +57,15 @@
     const headers = {
       "7": "x",
       "fescuerun-request-id": "own",
+      "fescuerun-tenant-id": "own",
+      "fescuerun-credential": "key",
+    };
+    const tenant = {
+      name: "acme",
+      keyDigests: [],
+      ratePerS: 0,
+      burst: 0,
+      homeRegions: [],
     };
     const sent = (call: CallerCall) =>
       [
@@ -69,6 +78,10 @@
       "fescuerun-shard-key=7",
     ];
     assert.deepEqual(sent({ ...call, headers }), [...own, "7=x"]);
+    assert.deepEqual(
+      sent({ ...call, headers, tenant }),
+      [...own, "fescuerun-tenant-id=acme", "7=x"],
+    );
   });
 
   const answers: [string, number, Record<string, string>, object][] = [
--- a/tests/platform/names_test.ts
+++ b/tests/platform/names_test.ts
@@ -32,6 +32,9 @@
   "fescuerun-not-executed",
   "fescuerun-shard-key",
   "fescuerun-handover",
+  "apiKeys",
+  "fescuerun-credential",
+  "fescuerun-tenant-id",
 ];
 
 function sourceFiles(dir: string): string[] {
