--- a/dev/bench/main.ts
+++ b/dev/bench/main.ts
@@ -9,6 +9,7 @@
 import { printReport } from "./print_report.ts";
 import { storeOutageBench } from "./store_outage.ts";
 import { stragglersBench } from "./stragglers.ts";
+import { tenantKeysBench } from "./tenant_keys.ts";
 import { throughputBench } from "./throughput.ts";
 
 const BENCHES: readonly Bench[] = [
@@ -21,6 +22,7 @@
   churnBench,
   imbalanceBench,
   limitsBench,
+  tenantKeysBench,
 ];
 const DEFAULT_REPETITIONS = "5";
 
