--- a/tests/tenants/tenants_test.ts
+++ b/tests/tenants/tenants_test.ts
@@ -8,7 +8,7 @@
 const KEY = "k3y-0f-acme";
 const CREDENTIAL = `Fescuerun-Credential: ${KEY}`;
 const KEYS = { acme: [KEY, "k\u00e9y, 2"], globex: ["other"] };
-const OWN_TENANT = "Fescuerun-Tenant-Id: forged";
+const FORGED = "Fescuerun-Tenant-Id: forged";
 const REJECT = "503 X\r\nFescuerun-Not-Executed: 1\r\nContent-Length: 4\r\n";
 const FAIL = "500 X\r\nContent-Length: 4\r\n" +
   "Fescuerun-Response-Signature: s\r\n";
@@ -27,75 +27,45 @@
 }
 
 describe("requests of tenants", () => {
-  // Header lines, path, status, and the tenant that the upstream sees. Guards
-  // against a credential that is taken from an unclear request, and against keys
-  // and forged tenant names that reach an upstream, a log line or a metric.
-  const longName = "x".repeat(300);
-  const cases: [string, string[], string, number, string?][] = [
-    ["a known key", [CREDENTIAL], "/a/x", 200, "acme"],
+  // Path, header lines ("K" is the key), status, and the tenant that the
+  // upstream sees. Guards against a credential that is taken from an unclear
+  // request, and against keys and forged tenants that reach an upstream, a log
+  // line or a metric.
+  const cases: [string, string, number, string?][] = [
+    ["/a/x", "Fescuerun-Credential: K", 200, "acme"],
+    ["/a/x", "FESCUERUN-credential:K", 200, "acme"],
+    ["/a/x", "Fescuerun-Credential: \t K \t", 200, "acme"],
+    ["/a/x", "Fescuerun-Credential: k\u00c3\u00a9y, 2", 200, "acme"],
+    ["/a/x", `${FORGED}|Fescuerun-Credential: K|${FORGED}`, 200, "acme"],
+    ["/a/x", `${FORGED.toUpperCase()}|Fescuerun-Credential: K`, 200, "acme"],
     [
-      "an unusual case",
-      [CREDENTIAL.toUpperCase().replace(/: .*/, `:${KEY}`)],
       "/a/x",
+      "Connection: fescuerun-credential|Fescuerun-Credential: K",
       200,
       "acme",
     ],
+    ["/a/x", FORGED, 401],
+    ["/a/x", "Fescuerun-Credential:", 401],
+    ["/a/x", "Fescuerun-Credential: Kx", 401],
+    ["/a/x", "Fescuerun-Credential: k3Y-0f-acme", 401],
+    ["/a/x", "Fescuerun-Credential: Bearer K", 401],
+    ["/a/x", `Fescuerun-Credential: ${"x".repeat(300)}`, 401],
+    ["/a/x", "Fescuerun-Credential: K|Fescuerun-Credential: K", 401],
+    ["/a/x", "fescuerun-credential:|Fescuerun-Credential: K", 401],
+    ["/a/x", "Fescuerun-Credential: K, K", 401],
     [
-      "white space around the key",
-      [`Fescuerun-Credential: \t ${KEY} \t`],
-      "/a/x",
-      200,
-      "acme",
-    ],
-    [
-      "a key that is not ASCII",
-      ["Fescuerun-Credential: k\u00c3\u00a9y, 2"],
-      "/a/x",
-      200,
-      "acme",
-    ],
-    [
-      "forged tenants",
-      [OWN_TENANT, CREDENTIAL, OWN_TENANT.toUpperCase()],
-      "/a/x",
-      200,
-      "acme",
-    ],
-    [
-      "a key named by Connection",
-      ["Connection: fescuerun-credential", CREDENTIAL],
-      "/a/x",
-      200,
-      "acme",
-    ],
-    ["no key", [OWN_TENANT], "/a/x", 401],
-    ["an empty key", ["Fescuerun-Credential:"], "/a/x", 401],
-    ["an unknown key", [`${CREDENTIAL}x`], "/a/x", 401],
-    ["a key in other case", [CREDENTIAL.toUpperCase()], "/a/x", 401],
-    ["a scheme", [`Fescuerun-Credential: Bearer ${KEY}`], "/a/x", 401],
-    ["a long key", [`Fescuerun-Credential: ${longName}`], "/a/x", 401],
-    ["the key twice", [CREDENTIAL, CREDENTIAL], "/a/x", 401],
-    [
-      "an empty and a known key",
-      ["fescuerun-credential:", CREDENTIAL],
-      "/a/x",
-      401,
-    ],
-    ["two keys in one line", [`${CREDENTIAL}, ${KEY}`], "/a/x", 401],
-    ["another header", [`Authorization: ${KEY}x`], "/a/x", 401],
-    [
-      "a public route",
-      [CREDENTIAL, OWN_TENANT, CREDENTIAL.toLowerCase()],
       "/open/x",
+      `Fescuerun-Credential: K|${FORGED}|FESCUERUN-CREDENTIAL: K`,
       200,
     ],
-    ["a public route without key", [], "/open/x", 200],
-    ["no route", [], "/none/x", 404],
-    ["no route with a key", [CREDENTIAL], "/none/x", 404],
+    ["/open/x", "X: 1", 200],
+    ["/none/x", "X: 1", 404],
+    ["/none/x", "Fescuerun-Credential: K", 404],
   ];
-  for (const [name, lines, path, status, tenant] of cases) {
-    it(`${name} on ${path}: ${status}`, () =>
+  for (const [path, headers, status, tenant] of cases) {
+    it(`answers ${path} with ${headers.slice(0, 80)}: ${status}`, () =>
       withRig(async (rig) => {
+        const lines = headers.replaceAll("K", KEY).split("|");
         const answer = await rig.send(lines, path);
         assert.equal(answer.status, status, answer.text);
         if (status === 401) assert.match(answer.text, /"unknown_credential"/);
@@ -105,14 +75,14 @@
         assert.doesNotMatch(received, /credential|forged/i);
         const told = JSON.stringify(rig.lines) + answer.text + received +
           await rig.metrics.registry.metrics();
-        if (name !== "another header") assert.ok(!told.includes(KEY), told);
+        assert.ok(!told.includes(KEY), told);
       }));
   }
 
   it("serves without keys and without a tenant if there are no tenants", () =>
     withRig(async (rig) => {
       rig.configure();
-      assert.equal((await rig.send([CREDENTIAL, OWN_TENANT])).status, 200);
+      assert.equal((await rig.send([CREDENTIAL, FORGED])).status, 200);
       assert.doesNotMatch(rig.received.join(), /tenant|credential/i);
       assert.deepEqual(rig.admitted, []);
     }));
