--- a/src/direct/wire_protocol.ts
+++ b/src/direct/wire_protocol.ts
@@ -13,17 +13,26 @@
     headers: Headers,
   ): Partial<Pick<CallerCall, "requestId" | "deadlineMs" | "key">>;
 
+  /**
+   * @param rawHeaders - names and values of a caller's request, alternating, as
+   * received
+   * @returns the bytes of its API key; undefined if it has none, several, or an
+   * empty one
+   */
+  readCredential(rawHeaders: readonly string[]): Uint8Array | undefined;
+
   /**
    * @param call - the caller's request
    * @param upstreamId - the upstream that is to run it
    * @param remainingMs - time until the request's deadline, in milliseconds
-   * @returns all headers of the request to the upstream
+   * @returns all headers of the request to the upstream, in the order in which
+   * they are sent
    */
   upstreamHeaders(
     call: CallerCall,
     upstreamId: string,
     remainingMs: number,
-  ): Record<string, string | string[]>;
+  ): ReadonlyMap<string, string | string[]>;
 
   /**
    * @param call - the caller's request
