--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -4,6 +4,7 @@
 import type { Logger } from "../base/logger.ts";
 import { runTask } from "../base/run_task.ts";
 import { FleetRetryBudget } from "../limits/fleet_retry_budget.ts";
+import { LeasedTenantLimiter } from "../limits/leased_tenant_limiter.ts";
 import { PeerListener } from "../links/peer_listener.ts";
 import { rpcServer } from "../links/rpc_server.ts";
 import { LeaderLease } from "../ranges/leader_lease.ts";
@@ -124,6 +125,7 @@
   readonly #readinessListener: TextListener;
   readonly #metricsListener: TextListener;
   readonly #budget: FleetRetryBudget;
+  readonly #tenantLimiter: LeasedTenantLimiter;
   readonly #startedAt: number;
   #ready = false;
 
@@ -222,6 +224,19 @@
       bound: cfg.retries,
       vms: () => view.vms,
     });
+    this.#tenantLimiter = new LeasedTenantLimiter({
+      self,
+      lease: this.#lease,
+      relay: this.#relay,
+      tenants: () => view.config?.tenants,
+      tenantsChanged: view.changed,
+      bound: cfg.quota,
+      peers: peerClient,
+      clock,
+      logger,
+      metrics,
+      signal: this.#shutdown.signal,
+    });
     this.#callerListener = new DirectListener({
       clock,
       logger,
@@ -230,6 +245,7 @@
         work,
         protocol,
         budget: this.#budget,
+        tenantLimiter: this.#tenantLimiter,
         clock,
         logger,
         metrics,
@@ -247,7 +263,11 @@
       readinessDelayMs: READINESS_DELAY_MS,
     });
     const rpc = rpcServer({
-      handlers: [...this.#rangeController.handlers, this.#relay.handler],
+      handlers: [
+        ...this.#rangeController.handlers,
+        this.#relay.handler,
+        ...this.#tenantLimiter.handlers,
+      ],
       credential: opts.peerCredential,
       logger,
       signal: this.#shutdown.signal,
@@ -299,6 +319,7 @@
       run("key owners feed", () => this.#rangesFollower.run(signal)),
       run("leader lease", () => this.#lease.run()),
       this.#rangeController.run(),
+      this.#tenantLimiter.run(),
       run("relay", () => this.#relay.run()),
       run("periodic tasks", () => this.#runPeriodicTasks()),
     ]);
@@ -317,8 +338,9 @@
    *
    * @param cfg - validated settings
    */
-  reload(cfg: Pick<DirectSettings, "retries">): void {
+  reload(cfg: Pick<DirectSettings, "retries" | "quota">): void {
     this.#budget.setBound(cfg.retries);
+    this.#tenantLimiter.setBound(cfg.quota);
   }
 
   async #stop(): Promise<void> {
--- a/src/direct/direct_metrics.ts
+++ b/src/direct/direct_metrics.ts
@@ -94,6 +94,21 @@
     labelNames: ["place"] as const,
     registers: [this.registry],
   });
+  /** Requests refused because of the limit of their tenant, by reason. */
+  readonly limitedRequests = new Counter({
+    name: "fescuerun_limited_requests_total",
+    help:
+      "Requests refused because of their tenant's limit, by reason: used_up, or no_tokens if no holder gave tokens in time.",
+    labelNames: ["reason"] as const,
+    registers: [this.registry],
+  });
+  /** Requests of this VM to token holders, by result. */
+  readonly tokenRequests = new Counter({
+    name: "fescuerun_token_requests_total",
+    help: "Requests to holders of tenants' tokens, by result.",
+    labelNames: ["result"] as const,
+    registers: [this.registry],
+  });
   /** Log lines that were dropped. */
   readonly droppedLogLines = new Counter({
     name: "fescuerun_log_lines_dropped_total",
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "../base/logger.ts";
 import type { RefusalCode } from "../base/refusal_code.ts";
 import type { FleetRetryBudget } from "../limits/fleet_retry_budget.ts";
+import type { TenantLimiter } from "../limits/tenant_limiter.ts";
 import { waitForChange } from "../vms/wait_for_change.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallState } from "./call_state.ts";
@@ -23,6 +24,8 @@
   work: WorkTimes;
   protocol: WireProtocol;
   budget: FleetRetryBudget;
+  /** Enforces the limits of tenants; without it there are none. */
+  tenantLimiter?: TenantLimiter;
   clock: Clock;
   logger: Logger;
   metrics: DirectMetrics;
--- a/src/direct/direct_settings.ts
+++ b/src/direct/direct_settings.ts
@@ -1,3 +1,5 @@
+import type { QuotaBound } from "../limits/quota_bound.ts";
+
 /** Settings of a VM that sends requests directly to upstreams. */
 export type DirectSettings = {
   vm: string;
@@ -19,6 +21,8 @@
    * times the requests, plus `slack`.
    */
   retries: { ratio: number; windowMs: number; slack: number };
+  /** Limit on the requests of each tenant, for all VMs together. */
+  quota: QuotaBound;
   /**
    * Time in which changes of the configuration and of upstreams must be in force,
    * in milliseconds.
--- a/src/limits/demand_meter.ts
+++ b/src/limits/demand_meter.ts
@@ -1,4 +1,4 @@
-const AVERAGING_TIME_CONSTANT_MS = 1000;
+const DEFAULT_TIME_CONSTANT_MS = 1000;
 const MS_PER_S = 1000;
 
 /** Measures an entry's demand from requests that were admitted or refused. */
@@ -6,20 +6,24 @@
   #weightedArrivals = 0;
   #decayedAt: number;
   #peakConcurrency = 0;
+  readonly #timeConstantMs: number;
 
   /**
    * @param now - monotonic milliseconds
+   * @param timeConstantMs - time over which arrivals are averaged
    */
-  constructor(now: number) {
+  constructor(now: number, timeConstantMs = DEFAULT_TIME_CONSTANT_MS) {
     this.#decayedAt = now;
+    this.#timeConstantMs = timeConstantMs;
   }
 
   /**
-   * @param now - arrival of a request, in monotonic milliseconds
+   * @param now - arrival of the requests, in monotonic milliseconds
+   * @param count - number of requests
    */
-  recordArrival(now: number): void {
+  recordArrival(now: number, count = 1): void {
     this.#decay(now);
-    this.#weightedArrivals++;
+    this.#weightedArrivals += count;
   }
 
   /**
@@ -31,12 +35,12 @@
 
   /**
    * @param now - monotonic milliseconds
-   * @returns arrivals per second, as an exponential moving average over about a
-   * second
+   * @returns arrivals per second, as an exponential moving average over about
+   * the time constant
    */
   ratePerS(now: number): number {
     this.#decay(now);
-    return this.#weightedArrivals * MS_PER_S / AVERAGING_TIME_CONSTANT_MS;
+    return this.#weightedArrivals * MS_PER_S / this.#timeConstantMs;
   }
 
   /**
@@ -52,7 +56,7 @@
 
   #decay(now: number): void {
     this.#weightedArrivals *= Math.exp(
-      -(now - this.#decayedAt) / AVERAGING_TIME_CONSTANT_MS,
+      -(now - this.#decayedAt) / this.#timeConstantMs,
     );
     this.#decayedAt = now;
   }
--- a/src/limits/share_ledger.ts
+++ b/src/limits/share_ledger.ts
@@ -3,6 +3,11 @@
 import { allocateShares } from "./allocate_shares.ts";
 import type { Share } from "./share.ts";
 
+/** The part of a router's report that concerns limits. */
+type Report = Pick<
+  RenewParams,
+  "vm" | "incarnation" | "seq" | "answeredSeq" | "coordinatorEpoch" | "limits"
+>;
 type Shares = ReadonlyMap<string, Share>;
 type Account = {
   vm: string;
@@ -58,7 +63,7 @@
    * @param report - a report newer than the process's previous one
    * @param now - the coordinator's clock, in monotonic milliseconds
    */
-  accept(report: RenewParams, now: number): void {
+  accept(report: Report, now: number): void {
     const key = keyOf(report);
     const known = this.#accounts.get(key);
     const current = known !== undefined && now < known.endsAt
@@ -100,7 +105,7 @@
    * @returns the shares, which must be sent as the answer to the report
    */
   grant(
-    report: RenewParams,
+    report: Report,
     limitsByEntry: ReadonlyMap<string, Share>,
     now: number,
   ): RenewGrant["shares"] {
@@ -179,7 +184,7 @@
   }
 }
 
-function keyOf(report: RenewParams): string {
+function keyOf(report: Report): string {
   return `${report.vm}/${report.incarnation}`;
 }
 
--- a/src/ranges/leader_lease.ts
+++ b/src/ranges/leader_lease.ts
@@ -46,6 +46,12 @@
   /** Monotonic milliseconds after which it sends no orders. */
   ordersEndAt: number;
 };
+type Term = {
+  /** Monotonic milliseconds at which this VM knew that it is the leader. */
+  startedAt: number;
+  /** Whether no VM, as far as known, led before. */
+  isFirst: boolean;
+};
 type ObservedRow = {
   row: LeaseRow | undefined;
   version: number;
@@ -94,6 +100,9 @@
   #observed: ObservedRow | undefined;
   #leaderUnreachable = true;
   #held = false;
+  /** Whether this VM has read or written a row of a leader. */
+  #rowSeen = false;
+  #term: Term | undefined;
   /** Whether this VM has released the lease, as it is stopping. */
   #released = false;
   #confirmedAt = Number.NEGATIVE_INFINITY;
@@ -130,6 +139,14 @@
       this.#opts.clock.now() - this.#confirmedAt < LEASE_TTL_MS;
   }
 
+  /**
+   * @returns the term of this VM as the leader; undefined while it is not the
+   * leader. Each acquisition of the lease starts another term
+   */
+  get term(): Term | undefined {
+    return this.#held ? this.#term : undefined;
+  }
+
   /**
    * @returns whether this VM may send orders: it renewed the lease within the
    * grace period and has not been suspended since
@@ -377,8 +394,12 @@
     this.#recordEarlierLeaders(observed, ended);
     const startedAt = clock.now();
     const clockOffsetMs = this.#clockOffsetMs();
+    const isFirst = !this.#rowSeen && observed.version === 0;
+    // The row may be written although the write appears to have failed.
+    this.#rowSeen = true;
     const outcome = await this.#write(observed.version);
     if (outcome.kind !== "applied") return false;
+    this.#term = { startedAt: clock.now(), isFirst };
     this.#held = true;
     this.#leaderUnreachable = false;
     // A successor counts from the write, which the answer may follow late.
@@ -452,6 +473,7 @@
     if (found !== undefined && row === undefined) {
       logger.error({ version: found.version }, "leader lease row is malformed");
     }
+    if (found !== undefined) this.#rowSeen = true;
     const version = found?.version ?? 0;
     if (this.#observed?.version !== version) {
       this.#observed = { row, version, firstReadAt: clock.now() };
--- a/src/rows/table_relay.ts
+++ b/src/rows/table_relay.ts
@@ -60,6 +60,13 @@
     };
   }
 
+  /**
+   * @returns peer URL of the relay of the region; undefined if it is unknown
+   */
+  get relayUrl(): string | undefined {
+    return this.#relayUrl;
+  }
+
   /**
    * @returns whether this VM is the relay of its region
    */
