feat(limits): room for low demand and fewer requests for tokens

Change: holders report low demand with room for its variation, tokens that arise within 100 ms are waited for, the leader's holder has a share only while it is used, and requests for tokens are 120 ms apart.

--- a/src/limits/leased_tenant_limiter.ts
+++ b/src/limits/leased_tenant_limiter.ts
@@ -49,8 +49,11 @@
 const MAX_WAITING = 2000;
 /** Regular requests for tokens, which report what was spent. */
 const TOKEN_INTERVAL_MS = 500;
-/** Requests for tokens that were caused by clients' requests are spaced. */
-const MIN_TOKEN_INTERVAL_MS = 40;
+/**
+ * Requests for tokens that clients' requests cause are spaced, which bounds
+ * their number to 8 a second, and the time that they add.
+ */
+const MIN_TOKEN_INTERVAL_MS = 120;
 /** A holder in the same region answers within some milliseconds. */
 const TOKEN_TIMEOUT_MS = 400;
 /** How long the leader's holder is used after the region's did not answer. */
@@ -267,7 +270,7 @@
   }
 
   async #runShares(): Promise<void> {
-    const { clock, signal, relay, lease, tenantsChanged } = this.#opts;
+    const { clock, signal, relay, tenantsChanged } = this.#opts;
     let requestedAt = Number.NEGATIVE_INFINITY;
     let eagerUntil = Number.NEGATIVE_INFINITY;
     while (!signal.aborted) {
@@ -280,7 +283,7 @@
       const isDue = changed || this.#pool.fullWanted ||
         startedAt - requestedAt >= intervalMs;
       this.#pool.sweep();
-      const isHolder = relay.isRelay || lease.held || this.#pool.inUse;
+      const isHolder = relay.isRelay || this.#pool.inUse;
       if (isDue && isHolder && this.#pool.tenantIds.length > 0) {
         requestedAt = startedAt;
         await this.#requestShares();
--- a/src/limits/tenant_allowance.ts
+++ b/src/limits/tenant_allowance.ts
@@ -6,7 +6,7 @@
  * time between admission and the run of a request at an upstream, which can move
  * requests from an earlier window into a later one.
  */
-const USED_FRACTION = 0.6;
+const USED_FRACTION = 0.8;
 const MS_PER_S = 1000;
 
 /**
--- a/src/limits/token_bucket_share.ts
+++ b/src/limits/token_bucket_share.ts
@@ -8,6 +8,10 @@
 /** Demand below this fraction of the limit is reported as 0. */
 const MIN_DEMAND_FRACTION = 0.001;
 const SHARE_DIGITS = 4;
+/** Standard deviations of a second's requests for which there should be room. */
+const DEVIATIONS = 1.5;
+/** `allocateShares` raises demands by this factor. */
+const LEADER_HEADROOM_FACTOR = 1.25;
 
 /**
  * A holder's share of the token bucket of one tenant. Tokens that VMs have and
@@ -60,13 +64,25 @@
 
   /**
    * @param now - monotonic milliseconds
-   * @returns requests per second relative to the limit
+   * @returns the demand to report, relative to the limit. Low demand is reported
+   * higher, since the share that it needs exceeds the mean by more
    */
   demandFraction(now: number): number {
     const { ratePerS } = this.#allowance;
     if (ratePerS === 0) return 0;
-    const fraction = this.#demand.ratePerS(now) / ratePerS;
-    return fraction < MIN_DEMAND_FRACTION ? 0 : round(fraction);
+    const perS = this.#demand.ratePerS(now);
+    if (perS < MIN_DEMAND_FRACTION * ratePerS) return 0;
+    const needed = perS + DEVIATIONS * Math.sqrt(perS);
+    return round(Math.max(perS, needed / LEADER_HEADROOM_FACTOR) / ratePerS);
+  }
+
+  /**
+   * @param now - monotonic milliseconds
+   * @returns whether the requests measured stay below the share
+   */
+  isCalm(now: number): boolean {
+    const { ratePerS } = this.#allowance;
+    return this.#demand.ratePerS(now) <= ratePerS * this.#fraction;
   }
 
   /**
--- a/src/limits/token_pool.ts
+++ b/src/limits/token_pool.ts
@@ -34,6 +34,9 @@
  * cause refusals elsewhere.
  */
 const RESERVED_FRACTION = 0.5;
+const MIN_RESERVED = 10;
+/** A request may wait this long for a token that is about to arise. */
+const MAX_TOKEN_WAIT_MS = 100;
 /** Bounds the requests of VMs for tenants that have used up their share. */
 const MIN_DRY_MS = 100;
 const MAX_DRY_MS = 1000;
@@ -63,6 +66,8 @@
   #term = "";
   #fullWanted = false;
   #configured = false;
+  /** Monotonic milliseconds of the last request for tokens. */
+  #askedAt = Number.NEGATIVE_INFINITY;
 
   /**
    * @param incarnation - identifies this process
@@ -78,9 +83,9 @@
     return this.#leaseMs > 0;
   }
 
-  /** @returns whether VMs have tokens of this holder */
+  /** @returns whether VMs have asked this holder for tokens recently */
   get inUse(): boolean {
-    return this.#accounts.size > 0;
+    return this.#clock.now() - this.#askedAt < TOKEN_LIFE_MS;
   }
 
   /** @returns ids of the tenants that have a limit */
@@ -203,6 +208,7 @@
    */
   onTokenRequest(params: TokenParams): TokenResponse {
     const now = this.#clock.now();
+    this.#askedAt = now;
     this.#checkLease();
     const lifeMs = Math.min(TOKEN_LIFE_MS, Math.floor(this.#leaseMs));
     const holder = this.#incarnation;
@@ -253,21 +259,27 @@
     bucket.restore(back);
     bucket.recordDemand(now, spent + refused);
     const count = bucket.take(needed, 0);
-    const reserve = bucket.capacity * RESERVED_FRACTION;
+    const reserve = Math.max(
+      MIN_RESERVED,
+      bucket.capacity * RESERVED_FRACTION,
+    );
     const extra = count < needed ? 0 : bucket.take(ahead, reserve);
     const total = count + extra;
     if (kept + total > 0) account.tokens.set(id, kept + total);
     else account.tokens.delete(id);
     if (total > 0) account.lastGrants.push({ id, count: total });
     if (total === 0 && needed === 0) return undefined;
-    const dryMs = count < needed
-      ? Math.round(
-        Math.min(MAX_DRY_MS, Math.max(MIN_DRY_MS, bucket.msUntilToken)),
-      )
-      : 0;
+    const dryMs = count < needed ? this.#dryMs(bucket, now) : 0;
     return [id, total, dryMs, bucket.fraction];
   }
 
+  /** Returns for how long a VM should refuse requests; 0 to ask again soon. */
+  #dryMs(bucket: TokenBucketShare, now: number): number {
+    const ms = bucket.msUntilToken;
+    if (ms <= MAX_TOKEN_WAIT_MS && bucket.isCalm(now)) return 0;
+    return Math.round(Math.min(MAX_DRY_MS, Math.max(MIN_DRY_MS, ms)));
+  }
+
   /** Takes back the tokens of a response that the VM has not applied. */
   #takeBack(account: Account): void {
     for (const { id, count } of account.lastGrants) {
