--- a/tests/support/tenant_fleet.ts
+++ b/tests/support/tenant_fleet.ts
@@ -9,7 +9,7 @@
 /** A fault that is planted to show that the search finds it. */
 export type PlantedFault =
   | "new_leader_grants_at_once"
-  | "restarted_holder_starts_full"
+  | "restarted_holder_keeps_share"
   | "duplicate_response_counts"
   | "expiry_ignores_suspension"
   | "region_has_two_holders"
@@ -82,6 +82,7 @@
   readonly #opts: Options;
   readonly #isolated = new Set<string>();
   readonly #cut = new Set<string>();
+  readonly #withoutControl = new Set<string>();
   #row: { name: string; incarnation: string; version: number } | undefined;
 
   constructor(opts: Options) {
@@ -169,7 +170,17 @@
   restart(vm: Vm): void {
     const index = this.vms.indexOf(vm);
     this.kill(vm);
-    this.vms[index] = this.#start(vm.name, vm.region);
+    const started = this.#start(vm.name, vm.region);
+    this.vms[index] = started;
+    if (this.#opts.planted !== "restarted_holder_keeps_share") return;
+    // The new process assumes the share of the old one, and a full bucket.
+    const { seq } = started.pool.beginShareRequest();
+    started.pool.endShareRequest(seq, {
+      leader: true,
+      term: "planted",
+      ttlMs: 5000,
+      shares: vm.pool.tenantIds.map((id) => [id, 1 / this.#opts.regions]),
+    });
   }
 
   /** @param suspended - whether the monotonic clock stands still as well */
@@ -196,6 +207,12 @@
     this.at(this.#time + ms, () => cuts.delete(name));
   }
 
+  /** Cuts a VM off from the store and the leader, but not from other VMs. */
+  cutControl(vm: Vm, ms: number): void {
+    this.#withoutControl.add(vm.name);
+    this.at(this.#time + ms, () => this.#withoutControl.delete(vm.name));
+  }
+
   setTenants(tenants: readonly Tenant[]): void {
     this.tenants = tenants;
     for (const vm of this.vms) vm.pool.setTenants(tenants, BOUND);
@@ -266,7 +283,7 @@
       fallbackUntil: Number.NEGATIVE_INFINITY,
     };
     const isConfirmed = () => this.#isConfirmed(vm);
-    if (planted === "restarted_holder_starts_full") {
+    if (planted === "restarted_holder_keeps_share") {
       vm.pool.setTenants([], BOUND);
     }
     vm.pool.setTenants(this.tenants, BOUND);
@@ -366,6 +383,7 @@
 
   #runLease(vm: Vm): void {
     if (this.#isolated.has(vm.name)) return;
+    if (this.#withoutControl.has(vm.name)) return;
     const now = vm.clock.now();
     const confirm = () => {
       vm.confirmedAt = now;
@@ -409,7 +427,7 @@
   /** Reports to the leader, which names the relay of the region. */
   #report(vm: Vm): void {
     const leader = this.#vmNamed(vm.leaderName);
-    if (leader === undefined) return;
+    if (leader === undefined || this.#withoutControl.has(vm.name)) return;
     this.#deliver(vm, leader, () => {
       if (!this.#isConfirmed(leader)) return;
       leader.reportedAt.set(vm.name, leader.clock.now());
@@ -433,6 +451,7 @@
     const isHolder = vm.relayName === vm.name || vm.pool.inUse;
     const leader = this.#vmNamed(vm.leaderName);
     if (!isHolder || leader === undefined) return;
+    if (this.#withoutControl.has(vm.name) && vm !== leader) return;
     const params = vm.pool.beginShareRequest();
     const { planted } = this.#opts;
     const asLeader = planted === "region_has_two_holders"
--- a/tests/support/tenant_search_case.ts
+++ b/tests/support/tenant_search_case.ts
@@ -4,10 +4,21 @@
 import { type PlantedFault, TenantFleet } from "./tenant_fleet.ts";
 
 const DURATION_MS = 25_000;
-const FAULT_INTERVAL_MS = 3500;
+const FAULT_INTERVAL_MS = 2500;
 const MS_PER_S = 1000;
+const CALM_FACTOR = 0.6;
+const BURST_INTERVAL_MS = 6000;
+const BURST_PARTS = 6;
+const BURST_PART_MS = 250;
+/** The token buckets bound the requests in windows of any length. */
+const WINDOWS_MS = [50, 300, 1000, 2500, 5000, 10_000];
 
-type Violation = { tenant: string; most: number; allowed: number };
+type Violation = {
+  tenant: string;
+  windowMs: number;
+  most: number;
+  allowed: number;
+};
 
 /**
  * Runs one case of the search: VMs whose tenants send more than their limits
@@ -31,7 +42,7 @@
     tenants,
     lossProbability: 0.03,
     lateProbability: 0.05,
-    repeatProbability: 0.05,
+    repeatProbability: 0.2,
     ...(planted === undefined ? {} : { planted }),
   });
   const { random } = fleet;
@@ -46,11 +57,13 @@
     const times = (fleet.results.get(name) ?? [])
       .filter((result) => result.admitted).map(({ at }) => at);
     admitted += times.length;
-    const { windowMs } = fleet.bound;
-    const allowed = ratePerS * windowMs / MS_PER_S +
-      tenantAllowance({ ratePerS, burst }, fleet.bound).capacity;
-    const most = mostInWindow(times, windowMs);
-    if (most > allowed + 1e-6) violations.push({ tenant: name, most, allowed });
+    const { capacity } = tenantAllowance({ ratePerS, burst }, fleet.bound);
+    for (const windowMs of WINDOWS_MS) {
+      const allowed = ratePerS * windowMs / MS_PER_S + capacity;
+      const most = mostInWindow(times, windowMs);
+      if (most <= allowed + 1e-6) continue;
+      violations.push({ tenant: name, windowMs, most, allowed });
+    }
   }
   return { violations, admitted };
 }
@@ -68,12 +81,22 @@
     const next = (at: number) =>
       fleet.at(at, () => {
         fleet.request(random.pick(fleet.vms), tenant);
-        // Alternates between floods and pauses in which tokens accumulate.
-        const factor = Math.floor(at / 4000) % 2 === 0 ? 4 : 0.5;
-        const meanMs = MS_PER_S / (tenant.ratePerS * factor);
+        const meanMs = MS_PER_S / (tenant.ratePerS * CALM_FACTOR);
         next(at - Math.log(1 - random.next()) * meanMs);
       });
     next(1000);
+    // Bursts spend all tokens that have accumulated, wherever they are.
+    const { capacity } = tenantAllowance(tenant, fleet.bound);
+    for (let at = 5000; at < DURATION_MS; at += BURST_INTERVAL_MS) {
+      const start = at + random.next() * BURST_INTERVAL_MS / 2;
+      for (let index = 0; index < BURST_PARTS * capacity; index++) {
+        const part = Math.floor(index / capacity);
+        fleet.at(
+          start + part * BURST_PART_MS + random.next() * 50,
+          () => fleet.request(random.pick(fleet.vms), tenant),
+        );
+      }
+    }
   }
 }
 
@@ -87,9 +110,18 @@
   const vm = random.pick(victims) ?? victims[0]!;
   const ms = 300 + random.next() * 6000;
   const action = random.next();
-  if (action < 0.25) fleet.restart(vm);
-  else if (action < 0.45) fleet.freeze(vm, ms, true);
-  else if (action < 0.6) fleet.freeze(vm, ms, false);
-  else if (action < 0.85) fleet.partition(vm, undefined, ms);
-  else fleet.partition(vm, random.pick(fleet.vms), ms);
+  if (action < 0.2) fleet.restart(vm);
+  else if (action < 0.45) {
+    for (const other of fleet.vms) {
+      if (other === vm || random.next() < 0.5) fleet.freeze(other, ms, true);
+    }
+  } else if (action < 0.55) fleet.freeze(vm, ms, false);
+  else if (action < 0.7) fleet.partition(vm, undefined, ms);
+  else if (action < 0.9) {
+    // A holder and VMs of its region are parted from the leader and the store.
+    for (const other of fleet.vms) {
+      const isNear = other.region === vm.region && random.next() < 0.5;
+      if (other === vm || isNear) fleet.cutControl(other, ms + 5000);
+    }
+  } else fleet.partition(vm, random.pick(fleet.vms), ms);
 }
