--- /dev/null
+++ b/src/limits/holder_choice.ts
@@ -0,0 +1,75 @@
+import type { Clock } from "../base/clock.ts";
+
+/** A single lost message should not spread the tokens over two holders. */
+const FAILURES_UNTIL_FALLBACK = 2;
+/** How long the leader's holder is used after the region's did not answer. */
+const FALLBACK_MS = 1000;
+/**
+ * How long VMs stay with a holder that works after the relay of the region has
+ * changed. A new leader often chooses other relays, and gives these no shares
+ * until those of its predecessor have expired. VMs move one by one, so that the
+ * shares follow the demand.
+ */
+const MIN_MOVE_DELAY_MS = 7000;
+const MOVE_SPREAD_MS = 5000;
+
+type Urls = { relayUrl: string | undefined; leaderUrl: string | undefined };
+
+/** Chooses the holder from which a VM takes tokens. */
+export class HolderChoice {
+  readonly #clock: Clock;
+  readonly #random: () => number;
+  #url: string | undefined;
+  #moveAt: number | undefined;
+  #failures = 0;
+  /** Monotonic milliseconds until which the leader's holder is used. */
+  #fallbackUntil = Number.NEGATIVE_INFINITY;
+
+  /**
+   * @param clock - source of time
+   * @param random - returns a number of at least 0 and less than 1
+   */
+  constructor(clock: Clock, random: () => number) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  /**
+   * @param urls - peer URLs of the region's relay and of the leader, as far as
+   * known
+   * @returns peer URL of the holder to ask; undefined if none is known
+   */
+  next({ relayUrl, leaderUrl }: Urls): string | undefined {
+    const now = this.#clock.now();
+    if (now < this.#fallbackUntil) return leaderUrl ?? relayUrl;
+    if (relayUrl === undefined) return this.#url ?? leaderUrl;
+    if (this.#url === undefined || this.#url === relayUrl) {
+      this.#moveAt = undefined;
+      this.#url = relayUrl;
+    } else if (this.#moveAt === undefined) {
+      this.#moveAt = now + MIN_MOVE_DELAY_MS + this.#random() * MOVE_SPREAD_MS;
+    } else if (now >= this.#moveAt) {
+      this.#moveAt = undefined;
+      this.#url = relayUrl;
+    }
+    return this.#url;
+  }
+
+  /** @param renewed - whether the last holder asked has renewed the tokens */
+  onResult(renewed: boolean): void {
+    if (renewed) {
+      this.#failures = 0;
+      return;
+    }
+    this.#failures++;
+    if (this.#failures < FAILURES_UNTIL_FALLBACK) return;
+    this.#failures = 0;
+    const now = this.#clock.now();
+    const wasFallback = now < this.#fallbackUntil;
+    this.#fallbackUntil = wasFallback
+      ? Number.NEGATIVE_INFINITY
+      : now + FALLBACK_MS;
+    // Afterwards, the relay of the region is asked.
+    this.#url = undefined;
+  }
+}
--- a/src/limits/leased_tenant_limiter.ts
+++ b/src/limits/leased_tenant_limiter.ts
@@ -9,6 +9,7 @@
 import type { Tenant } from "../tenants/tenant.ts";
 import type { PeerClient } from "../vms/peer_client.ts";
 import { waitForChange } from "../vms/wait_for_change.ts";
+import { HolderChoice } from "./holder_choice.ts";
 import { LimitLog } from "./limit_log.ts";
 import type { QuotaBound } from "./quota_bound.ts";
 import { ShareIssuer } from "./share_issuer.ts";
@@ -56,8 +57,6 @@
 const MIN_TOKEN_INTERVAL_MS = 120;
 /** A holder in the same region answers within some milliseconds. */
 const TOKEN_TIMEOUT_MS = 400;
-/** How long the leader's holder is used after the region's did not answer. */
-const FALLBACK_MS = 1000;
 const SHARE_INTERVAL_MS = 700;
 /** While the holder has no shares, and after the tenants have changed. */
 const EAGER_SHARE_INTERVAL_MS = 200;
@@ -78,13 +77,12 @@
   readonly #pool: TokenPool;
   readonly #issuer: ShareIssuer;
   readonly #log: LimitLog;
+  readonly #holder: HolderChoice;
   readonly #ids = new Map<string, string>();
   readonly #waiters = new Set<Waiter>();
   /** Fires when tokens are needed before the next regular request. */
   readonly #tokensNeeded = new ChangeNotifier();
   #tenants: readonly Tenant[] | undefined;
-  /** Monotonic milliseconds until which the leader's holder is used. */
-  #fallbackUntil = Number.NEGATIVE_INFINITY;
   #bound: QuotaBound;
 
   /**
@@ -97,6 +95,7 @@
     this.#stock = new TokenStock(self.incarnation, clock);
     this.#pool = new TokenPool(self.incarnation, clock);
     this.#log = new LimitLog(clock, logger);
+    this.#holder = new HolderChoice(clock, Math.random);
     this.#issuer = new ShareIssuer({
       incarnation: self.incarnation,
       lease,
@@ -212,15 +211,18 @@
         }, signal);
       }
       if (signal.aborted) return;
-      if (this.#stock.tenantCount > 0) await this.#requestTokens();
+      await this.#requestTokens();
       await clock.sleep(MIN_TOKEN_INTERVAL_MS, signal);
     }
   }
 
   async #requestTokens(): Promise<void> {
-    const { self, peers, signal, metrics, clock } = this.#opts;
-    const url = this.#holderUrl();
-    if (url === undefined) return;
+    const { self, peers, signal, metrics, relay } = this.#opts;
+    const url = this.#holder.next({
+      relayUrl: relay.relayUrl,
+      leaderUrl: this.#leaderUrl(),
+    });
+    if (url === undefined || this.#stock.tenantCount === 0) return;
     const params = this.#stock.beginRequest(url);
     let response: ReturnType<TokenPool["onTokenRequest"]> | undefined;
     if (url === self.peerUrl) response = this.#pool.onTokenRequest(params);
@@ -236,14 +238,8 @@
     }
     const renewed = this.#stock.endRequest(params.seq, response);
     metrics.tokenRequests.inc({ result: renewed ? "renewed" : "failed" });
-    if (!renewed) {
-      const isFallback = clock.now() < this.#fallbackUntil;
-      this.#fallbackUntil = isFallback
-        ? Number.NEGATIVE_INFINITY
-        : clock.now() + FALLBACK_MS;
-      return;
-    }
-    this.#endWaits();
+    this.#holder.onResult(renewed);
+    if (renewed) this.#endWaits();
   }
 
   /** Admits waiting requests, and refuses those for which there is no token. */
@@ -257,13 +253,6 @@
     }
   }
 
-  #holderUrl(): string | undefined {
-    const { relay, clock } = this.#opts;
-    const leaderUrl = this.#leaderUrl();
-    if (clock.now() < this.#fallbackUntil) return leaderUrl ?? relay.relayUrl;
-    return relay.relayUrl ?? leaderUrl;
-  }
-
   #leaderUrl(): string | undefined {
     const { lease, self } = this.#opts;
     return lease.held ? self.peerUrl : lease.leaderUrl;
--- a/src/limits/token_pool.ts
+++ b/src/limits/token_pool.ts
@@ -191,7 +191,10 @@
     const now = this.#clock.now();
     this.#term = response.term;
     this.#answeredSeq = seq;
-    this.#lease = { sent, ttlMs: response.ttlMs };
+    // Without any share, VMs had better ask another holder.
+    this.#lease = response.shares.length === 0 && this.#lease === undefined
+      ? undefined
+      : { sent, ttlMs: response.ttlMs };
     const shares = new Map(response.shares);
     for (const [id, bucket] of this.#buckets) {
       bucket.setFraction(shares.get(id) ?? 0, now);
--- a/tests/support/tenant_fleet.ts
+++ b/tests/support/tenant_fleet.ts
@@ -1,3 +1,4 @@
+import { HolderChoice } from "../../src/limits/holder_choice.ts";
 import { ShareIssuer } from "../../src/limits/share_issuer.ts";
 import { tenantId } from "../../src/limits/tenant_id.ts";
 import { TokenPool } from "../../src/limits/token_pool.ts";
@@ -52,7 +53,7 @@
   calling: boolean;
   callPending: boolean;
   calledAt: number;
-  fallbackUntil: number;
+  holder: HolderChoice;
 };
 type Result = { at: number; admitted: boolean };
 
@@ -280,7 +281,7 @@
       calling: false,
       callPending: false,
       calledAt: Number.NEGATIVE_INFINITY,
-      fallbackUntil: Number.NEGATIVE_INFINITY,
+      holder: new HolderChoice(clock, () => this.random.next()),
     };
     const isConfirmed = () => this.#isConfirmed(vm);
     if (planted === "restarted_holder_keeps_share") {
@@ -290,9 +291,7 @@
     this.#every(vm, 500, () => this.#runLease(vm));
     this.#every(vm, 700, () => this.#report(vm));
     this.#every(vm, 700, () => this.#renewShares(vm));
-    this.#every(vm, 500, () => {
-      if (vm.stock.tenantCount > 0) this.#callHolder(vm);
-    });
+    this.#every(vm, 500, () => this.#callHolder(vm));
     return vm;
   }
 
@@ -484,13 +483,12 @@
         }));
       return;
     }
-    const now = vm.clock.now();
-    const isFallback = now < vm.fallbackUntil;
-    const name = isFallback
-      ? vm.leaderName ?? vm.relayName
-      : vm.relayName ?? vm.leaderName;
+    const name = vm.holder.next({
+      relayUrl: vm.relayName,
+      leaderUrl: vm.leaderName,
+    });
     const holder = this.vms.find((other) => other.name === name);
-    if (holder === undefined) return;
+    if (holder === undefined || vm.stock.tenantCount === 0) return;
     vm.calling = true;
     vm.calledAt = this.#time;
     const params = vm.stock.beginRequest(holder.name);
@@ -508,11 +506,7 @@
       if (ended) return;
       ended = true;
       vm.calling = false;
-      if (!renewed) {
-        vm.fallbackUntil = isFallback
-          ? Number.NEGATIVE_INFINITY
-          : vm.clock.now() + 1000;
-      }
+      vm.holder.onResult(renewed);
       if (vm.waiting.length > 0) this.#callHolder(vm);
     };
     this.#call(
