--- a/src/limits/holder_choice.ts
+++ b/src/limits/holder_choice.ts
@@ -3,7 +3,7 @@
 /** A single lost message should not spread the tokens over two holders. */
 const FAILURES_UNTIL_FALLBACK = 2;
 /** How long the leader's holder is used after the region's did not answer. */
-const FALLBACK_MS = 1000;
+const FALLBACK_MS = 2000;
 /**
  * How long VMs stay with a holder that works after the relay of the region has
  * changed. A new leader often chooses other relays, and gives these no shares
--- a/src/limits/leased_tenant_limiter.ts
+++ b/src/limits/leased_tenant_limiter.ts
@@ -56,7 +56,7 @@
  */
 const MIN_TOKEN_INTERVAL_MS = 120;
 /** A holder in the same region answers within some milliseconds. */
-const TOKEN_TIMEOUT_MS = 400;
+const TOKEN_TIMEOUT_MS = 250;
 const SHARE_INTERVAL_MS = 700;
 /** While the holder has no shares, and after the tenants have changed. */
 const EAGER_SHARE_INTERVAL_MS = 200;
@@ -166,11 +166,11 @@
   async #wait(tenant: Tenant, id: string): Promise<Admission> {
     const { clock } = this.#opts;
     const ended = new AbortController();
-    let admitted = false;
+    const outcome = { admitted: false };
     const waiter: Waiter = {
       id,
       end: (result) => {
-        admitted = result;
+        outcome.admitted = result;
         ended.abort();
       },
     };
@@ -180,7 +180,7 @@
     await clock.sleep(MAX_WAIT_MS, ended.signal);
     this.#waiters.delete(waiter);
     this.#stock.addWaiting(id, -1);
-    if (admitted) return { kind: "admitted" };
+    if (outcome.admitted) return { kind: "admitted" };
     const { dryMs } = this.#stock.dryness(id);
     return this.#refuse(tenant, id, dryMs > 0 ? "used_up" : "no_tokens");
   }
@@ -202,7 +202,8 @@
 
   async #runTokens(): Promise<void> {
     const { clock, signal } = this.#opts;
-    while (!signal.aborted) {
+    const isAborted = () => signal.aborted;
+    while (!isAborted()) {
       if (!this.#stock.hasWaiting) {
         await waitForChange({
           clock,
@@ -210,7 +211,7 @@
           notifiers: [this.#tokensNeeded],
         }, signal);
       }
-      if (signal.aborted) return;
+      if (isAborted()) return;
       await this.#requestTokens();
       await clock.sleep(MIN_TOKEN_INTERVAL_MS, signal);
     }
@@ -259,7 +260,7 @@
   }
 
   async #runShares(): Promise<void> {
-    const { clock, signal, relay, tenantsChanged } = this.#opts;
+    const { clock, signal, relay, lease, tenantsChanged } = this.#opts;
     let requestedAt = Number.NEGATIVE_INFINITY;
     let eagerUntil = Number.NEGATIVE_INFINITY;
     while (!signal.aborted) {
@@ -272,7 +273,7 @@
       const isDue = changed || this.#pool.fullWanted ||
         startedAt - requestedAt >= intervalMs;
       this.#pool.sweep();
-      const isHolder = relay.isRelay || this.#pool.inUse;
+      const isHolder = relay.isRelay || lease.held || this.#pool.inUse;
       if (isDue && isHolder && this.#pool.tenantIds.length > 0) {
         requestedAt = startedAt;
         await this.#requestShares();
--- a/src/limits/limit_log.ts
+++ b/src/limits/limit_log.ts
@@ -39,7 +39,14 @@
     }
     this.#loggedAt = now;
     this.#logger.warn(
-      { tenant: name, ratePerS, burst, share, reason, unlogged: this.#unlogged },
+      {
+        tenant: name,
+        ratePerS,
+        burst,
+        share,
+        reason,
+        unlogged: this.#unlogged,
+      },
       "request refused by the limit of its tenant",
     );
     this.#unlogged = 0;
--- a/src/limits/share_issuer.ts
+++ b/src/limits/share_issuer.ts
@@ -28,7 +28,7 @@
 /** The whole limit of a tenant; holders apply shares of it to its rate. */
 const WHOLE: Share = { ratePerS: 1, concurrency: 0 };
 /** `ShareLedger` waits one TTL unless the epoch is the first. */
-const FIRST_EPOCH: number = 1;
+const FIRST_EPOCH = 1;
 const LATER_EPOCH = 2;
 /** Never the epoch of a ledger: the holder has no response of this leader. */
 const OTHER_EPOCH = 0;
@@ -41,7 +41,7 @@
   readonly #opts: Options;
   #term: LeaderLease["term"];
   #ledger: ShareLedger | undefined;
-  #epoch = LATER_EPOCH;
+  #epoch: number = LATER_EPOCH;
   /** Newest request of each holder. */
   readonly #newest = new Map<string, { seq: number; at: number }>();
 
--- a/src/limits/token_pool.ts
+++ b/src/limits/token_pool.ts
@@ -149,7 +149,11 @@
     this.#checkLease();
     const full = this.#fullWanted;
     this.#fullWanted = false;
-    this.#inFlight = { seq: ++this.#seq, sent: new TimeMark(this.#clock), full };
+    this.#inFlight = {
+      seq: ++this.#seq,
+      sent: new TimeMark(this.#clock),
+      full,
+    };
     const entries: ShareParams["entries"] = [];
     for (const [id, bucket] of this.#buckets) {
       bucket.advance(now);
--- a/tests/limits/tenant_limits_load_test.ts
+++ b/tests/limits/tenant_limits_load_test.ts
@@ -14,10 +14,12 @@
 
 // Guards against tokens that lie where there is no traffic, so that requests
 // below the limit are refused.
-for (const { zones, firstRegion } of [
-  { zones: "even", firstRegion: 0.5 },
-  { zones: "uneven", firstRegion: 0.85 },
-]) {
+for (
+  const { zones, firstRegion } of [
+    { zones: "even", firstRegion: 0.5 },
+    { zones: "uneven", firstRegion: 0.85 },
+  ]
+) {
   for (const load of [0.5, 0.8, 1.0, 1.5]) {
     test(`refused at demand ${load} of the limit with ${zones} regions`, (t) => {
       const tenants = Array.from({ length: 6 }, (_, index) => ({
@@ -33,7 +35,9 @@
       });
       const mean = meanRefused(refused);
       t.diagnostic(
-        `${(100 * mean).toFixed(2)}% refused; ${callsPerS.toFixed(1)} calls/s ` +
+        `${(100 * mean).toFixed(2)}% refused; ${
+          callsPerS.toFixed(1)
+        } calls/s ` +
           `and ${bytesPerS.toFixed(0)} bytes of bodies/s per VM`,
       );
       // Above the limit, the surplus must be refused, and not much more.
--- a/tests/limits/tenant_limits_planted_test.ts
+++ b/tests/limits/tenant_limits_planted_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { PlantedFault } from "../support/tenant_fleet.ts";
+import type { PlantedFault } from "../support/planted_fault.ts";
 import { tenantSearchCase } from "../support/tenant_search_case.ts";
 
 const MAX_CASES = 100;
--- a/tests/platform/names_test.ts
+++ b/tests/platform/names_test.ts
@@ -15,6 +15,7 @@
   "internalPortRange",
   "gracePeriod",
   "retryBudget" + "Ratio",
+  "quota" + "Window",
   "trafficSplit",
   "targetLatency",
   "maxAttempts",
--- a/tests/ranges/leader_lease_test.ts
+++ b/tests/ranges/leader_lease_test.ts
@@ -57,6 +57,25 @@
     assert.equal([one, two].filter(({ lease }) => lease.held).length, 1);
   });
 
+  // Guards against a new leader that gives out what its predecessor may have
+  // given out.
+  it("is a first term only for the first leader", async () => {
+    const { start, advance, reportUnreachableFor } = createRig();
+    const one = start("vm-1");
+    await advance(1000);
+    assert.equal(one.lease.term?.isFirst, true);
+    one.stop();
+    const two = start("vm-2");
+    await reportUnreachableFor(two.lease, 5000);
+    assert.equal(two.lease.term?.isFirst, false);
+    assert.equal(two.lease.term.startedAt > 1000, true);
+    two.stop();
+    const again = start("vm-1", "vm-1-2");
+    await reportUnreachableFor(again.lease, 5000);
+    assert.equal(again.lease.term?.isFirst, false);
+    again.stop();
+  });
+
   // Guards against a third leader that assumes that no one else sends orders:
   // the first leader cannot reach the store but still renews grants, and its
   // successor releases the lease soon.
--- a/tests/support/tenant_fleet.ts
+++ b/tests/support/tenant_fleet.ts
@@ -4,18 +4,10 @@
 import { TokenPool } from "../../src/limits/token_pool.ts";
 import { TokenStock } from "../../src/limits/token_stock.ts";
 import type { Tenant } from "../../src/tenants/tenant.ts";
+import type { PlantedFault } from "./planted_fault.ts";
 import { RandomFaults } from "./random_faults.ts";
 import { TenantFleetClock } from "./tenant_fleet_clock.ts";
 
-/** A fault that is planted to show that the search finds it. */
-export type PlantedFault =
-  | "new_leader_grants_at_once"
-  | "restarted_holder_keeps_share"
-  | "duplicate_response_counts"
-  | "expiry_ignores_suspension"
-  | "region_has_two_holders"
-  | "lease_of_holder_never_ends";
-
 type Options = {
   seed: number;
   regions: number;
@@ -369,8 +361,10 @@
       this.bytes += JSON.stringify(response).length;
       this.#deliver(to, from, () => end(response));
     });
-    this.at(this.#time + timeoutMs, () =>
-      this.#run(from, () => end(undefined)));
+    this.at(
+      this.#time + timeoutMs,
+      () => this.#run(from, () => end(undefined)),
+    );
   }
 
   #isConfirmed(vm: Vm): boolean {
@@ -447,7 +441,7 @@
 
   #renewShares(vm: Vm): void {
     vm.pool.sweep();
-    const isHolder = vm.relayName === vm.name || vm.pool.inUse;
+    const isHolder = vm.held || vm.relayName === vm.name || vm.pool.inUse;
     const leader = this.#vmNamed(vm.leaderName);
     if (!isHolder || leader === undefined) return;
     if (this.#withoutControl.has(vm.name) && vm !== leader) return;
@@ -476,11 +470,14 @@
     if (sinceMs < 120) {
       if (vm.callPending) return;
       vm.callPending = true;
-      this.at(this.#time + 120 - Math.floor(sinceMs), () =>
-        this.#run(vm, () => {
-          vm.callPending = false;
-          if (vm.waiting.length > 0) this.#callHolder(vm);
-        }));
+      this.at(
+        this.#time + 120 - Math.floor(sinceMs),
+        () =>
+          this.#run(vm, () => {
+            vm.callPending = false;
+            if (vm.waiting.length > 0) this.#callHolder(vm);
+          }),
+      );
       return;
     }
     const name = vm.holder.next({
@@ -510,7 +507,7 @@
       if (vm.waiting.length > 0) this.#callHolder(vm);
     };
     this.#call(
-      { from: vm, to: holder, timeoutMs: 400, params },
+      { from: vm, to: holder, timeoutMs: 250, params },
       () => {
         if (holder !== vm) holder.pool.sweep();
         return holder.pool.onTokenRequest(params);
--- a/tests/support/tenant_search_case.ts
+++ b/tests/support/tenant_search_case.ts
@@ -1,7 +1,8 @@
 import type { Tenant } from "../../src/tenants/tenant.ts";
 import { tenantAllowance } from "../../src/limits/tenant_allowance.ts";
 import { mostInWindow } from "./most_in_window.ts";
-import { type PlantedFault, TenantFleet } from "./tenant_fleet.ts";
+import type { PlantedFault } from "./planted_fault.ts";
+import { TenantFleet } from "./tenant_fleet.ts";
 
 const DURATION_MS = 25_000;
 const FAULT_INTERVAL_MS = 2500;
