feat(limits): fewer and smaller requests for tokens

Cause: 88 VMs with 86 tenants sent 8.2 requests/s each, and 540 bytes of bodies for each, mostly to ask for tokens in advance that were not given.

Change: 200 ms between requests (60 ms after one that left requests waiting), 5 s between questions for tokens in advance, shorter ids.

--- a/src/limits/leased_tenant_limiter.ts
+++ b/src/limits/leased_tenant_limiter.ts
@@ -14,7 +14,7 @@
 import type { QuotaBound } from "./quota_bound.ts";
 import { ShareIssuer } from "./share_issuer.ts";
 import { ShareRequest } from "./share_request.ts";
-import { tenantId } from "./tenant_id.ts";
+import { shortId } from "./short_id.ts";
 import type { TenantLimiter } from "./tenant_limiter.ts";
 import { TokenPool } from "./token_pool.ts";
 import { TokenRequest } from "./token_request.ts";
@@ -52,9 +52,11 @@
 const TOKEN_INTERVAL_MS = 500;
 /**
  * Requests for tokens that clients' requests cause are spaced, which bounds
- * their number to 8 a second, and the time that they add.
+ * their number to 5 a second, and the time that they add.
  */
-const MIN_TOKEN_INTERVAL_MS = 120;
+const MIN_TOKEN_INTERVAL_MS = 200;
+/** Shorter, as the requests that wait have waited for one interval already. */
+const TOKEN_RETRY_MS = 60;
 /** A holder in the same region answers within some milliseconds. */
 const TOKEN_TIMEOUT_MS = 250;
 const SHARE_INTERVAL_MS = 700;
@@ -92,12 +94,14 @@
     this.#opts = opts;
     const { clock, logger, lease, self } = opts;
     this.#bound = opts.bound;
-    this.#stock = new TokenStock(self.incarnation, clock);
-    this.#pool = new TokenPool(self.incarnation, clock);
+    // Messages contain the ids of processes often.
+    const incarnation = shortId(self.incarnation);
+    this.#stock = new TokenStock(incarnation, clock);
+    this.#pool = new TokenPool(incarnation, clock);
     this.#log = new LimitLog(clock, logger);
     this.#holder = new HolderChoice(clock, Math.random);
     this.#issuer = new ShareIssuer({
-      incarnation: self.incarnation,
+      incarnation,
       lease,
       tenantIds: () => this.#pool.tenantIds,
       clock,
@@ -213,7 +217,10 @@
       }
       if (isAborted()) return;
       await this.#requestTokens();
-      await clock.sleep(MIN_TOKEN_INTERVAL_MS, signal);
+      const pauseMs = this.#stock.hasWaiting
+        ? TOKEN_RETRY_MS
+        : MIN_TOKEN_INTERVAL_MS;
+      await clock.sleep(pauseMs, signal);
     }
   }
 
@@ -323,7 +330,7 @@
   #idOf(name: string): string {
     let id = this.#ids.get(name);
     if (id === undefined) {
-      id = tenantId(name);
+      id = shortId(name);
       this.#ids.set(name, id);
     }
     return id;
--- a/src/limits/token_pool.ts
+++ b/src/limits/token_pool.ts
@@ -4,7 +4,7 @@
 import type { QuotaBound } from "./quota_bound.ts";
 import type { ShareRequest } from "./share_request.ts";
 import { tenantAllowance } from "./tenant_allowance.ts";
-import { tenantId } from "./tenant_id.ts";
+import { shortId } from "./short_id.ts";
 import { TimeMark } from "./time_mark.ts";
 import { TokenBucketShare } from "./token_bucket_share.ts";
 import type { TokenRequest } from "./token_request.ts";
@@ -112,7 +112,7 @@
     const removed = new Set(this.#buckets.keys());
     for (const tenant of tenants) {
       if (tenant.ratePerS === 0) continue;
-      const id = tenantId(tenant.name);
+      const id = shortId(tenant.name);
       removed.delete(id);
       this.#retired.delete(id);
       const allowance = tenantAllowance(tenant, bound);
--- a/src/limits/token_stock.ts
+++ b/src/limits/token_stock.ts
@@ -16,6 +16,8 @@
   refused: number;
   /** Monotonic milliseconds until which holders have no token. */
   dryUntil: number;
+  /** Monotonic milliseconds from which tokens in advance are asked for again. */
+  aheadAfter: number;
   /** The holder's share of the limit, 0 to 1. */
   share: number;
 };
@@ -48,6 +50,8 @@
 const IDLE_MS = 5000;
 /** Tokens for this time of a tenant's usual traffic are kept in advance. */
 const STOCK_MS = 1000;
+/** A holder that had no tokens to give in advance is not asked on each call. */
+const AHEAD_RETRY_MS = 5000;
 const MS_PER_S = 1000;
 /** Smaller stocks are refilled by the regular requests. */
 const MIN_REFILL_TARGET = 4;
@@ -231,6 +235,7 @@
       const state = this.#tenants.get(id);
       if (state === undefined) continue;
       state.share = share;
+      if (count > 0) state.aheadAfter = 0;
       state.dryUntil = dryMs === 0 ? 0 : now + dryMs;
     }
     return true;
@@ -255,9 +260,13 @@
     }
     const needed = state?.waiting ?? 0;
     const isDry = state !== undefined && now < state.dryUntil;
-    const ahead = state === undefined || isIdle || isDry
+    const ahead = state === undefined || isIdle || isDry ||
+        now < state.aheadAfter
       ? 0
       : Math.max(0, this.#target(state) - this.#count(id));
+    if (state !== undefined && ahead > 0) {
+      state.aheadAfter = now + AHEAD_RETRY_MS;
+    }
     const refused = state?.refused ?? 0;
     if (state !== undefined) state.refused = 0;
     inFlight.refused.set(id, refused);
@@ -314,6 +323,7 @@
         waiting: 0,
         refused: 0,
         dryUntil: 0,
+        aheadAfter: 0,
         share: 0,
       };
       this.#tenants.set(id, state);
