--- a/tests/support/tenant_search_case.ts
+++ b/tests/support/tenant_search_case.ts
@@ -7,6 +7,7 @@
 const DURATION_MS = 25_000;
 const FAULT_INTERVAL_MS = 2500;
 const MS_PER_S = 1000;
+const MIN_SUSPENDED_MS = 2800;
 const CALM_FACTOR = 0.6;
 const BURST_INTERVAL_MS = 6000;
 const BURST_PARTS = 6;
@@ -113,8 +114,11 @@
   const action = random.next();
   if (action < 0.2) fleet.restart(vm);
   else if (action < 0.45) {
+    // Longer than the lifetime of tokens, which the VMs must not spend then.
+    const suspendedMs = MIN_SUSPENDED_MS + random.next() * 2500;
     for (const other of fleet.vms) {
-      if (other === vm || random.next() < 0.5) fleet.freeze(other, ms, true);
+      const isRelay = other === fleet.relayOf(other.region);
+      if (!isRelay) fleet.freeze(other, suspendedMs, true);
     }
   } else if (action < 0.55) fleet.freeze(vm, ms, false);
   else if (action < 0.7) fleet.partition(vm, undefined, ms);
