feat(limits): a leader without the store renews shares, but moves none

Cause: holders stopped about 6 s after the store went away, and every request of a limited tenant was refused until it was back.

Change: the leader renews what holders have for 8 s after its last renewal of the lease, and no leader moves shares while another may still renew them. Simulated: none refused while the store is away for 12 s.

--- a/src/limits/leased_tenant_limiter.ts
+++ b/src/limits/leased_tenant_limiter.ts
@@ -24,7 +24,13 @@
   self: { incarnation: string; peerUrl: string };
   lease: Pick<
     LeaderLease,
-    "held" | "confirmed" | "term" | "leaderUrl"
+    | "held"
+    | "confirmed"
+    | "maySendOrders"
+    | "renewalAgeMs"
+    | "predecessorOrdersEndAt"
+    | "term"
+    | "leaderUrl"
   >;
   relay: Pick<TableRelay, "relayUrl" | "isRelay">;
   /** @returns tenants of the configuration in force; undefined if it has none */
--- a/src/limits/share_issuer.ts
+++ b/src/limits/share_issuer.ts
@@ -8,7 +8,14 @@
 type Options = {
   /** Incarnation of this process. */
   incarnation: string;
-  lease: Pick<LeaderLease, "confirmed" | "term">;
+  lease: Pick<
+    LeaderLease,
+    | "confirmed"
+    | "maySendOrders"
+    | "renewalAgeMs"
+    | "predecessorOrdersEndAt"
+    | "term"
+  >;
   /** @returns ids of the tenants that have a limit */
   tenantIds: () => readonly string[];
   clock: Clock;
@@ -23,6 +30,13 @@
  * have found it.
  */
 const SHARE_TTL_MS = 5000;
+/**
+ * A leader that cannot reach the store renews shares, but moves none, for this
+ * long after its last renewal of the lease. Its successor moves none for as long
+ * and one lifetime of shares, unless the leader has stepped down. With the
+ * lifetime, holders outlast 13 s without the store.
+ */
+const RENEWAL_GRACE_MS = 8000;
 /** Shares are multiples of this, rounded down, to keep messages short. */
 const SHARE_STEP = 1e-4;
 /** The whole limit of a tenant; holders apply shares of it to its rate. */
@@ -60,7 +74,9 @@
     const { lease, clock, incarnation, tenantIds } = this.#opts;
     const now = clock.now();
     const { term } = lease;
-    if (term === undefined || !lease.confirmed) return NOT_LEADER;
+    const isRecent = lease.maySendOrders &&
+      lease.renewalAgeMs < RENEWAL_GRACE_MS;
+    if (term === undefined || !isRecent) return NOT_LEADER;
     const termName = `${incarnation}/${term.startedAt}`;
     let ledger = this.#ledger;
     if (ledger === undefined || this.#term !== term) {
@@ -98,8 +114,15 @@
     };
     ledger.accept(report, now);
     const limits = new Map(tenantIds().map((id) => [id, WHOLE]));
+    // A predecessor may still renew shares, or a successor may do so.
+    const predecessorEndsAt = Math.min(
+      lease.predecessorOrdersEndAt,
+      term.startedAt + RENEWAL_GRACE_MS,
+    );
+    const renewOnly = !lease.confirmed ||
+      this.#epoch !== FIRST_EPOCH && now < predecessorEndsAt + SHARE_TTL_MS;
     const shares: Response["shares"] = [];
-    for (const share of ledger.grant(report, limits, now)) {
+    for (const share of ledger.grant(report, limits, now, renewOnly)) {
       const rounded = Math.floor(share.ratePerS / SHARE_STEP) * SHARE_STEP;
       const fraction = Number(Math.min(1, rounded).toFixed(4));
       if (fraction > 0) shares.push([share.entry, fraction]);
--- a/src/limits/share_ledger.ts
+++ b/src/limits/share_ledger.ts
@@ -102,19 +102,23 @@
    * @param report - the router's newest report, recorded with `accept`
    * @param limitsByEntry - the region's limits for each entry
    * @param now - the coordinator's clock, in monotonic milliseconds
+   * @param renewOnly - whether the router gets no more than it may have already
    * @returns the shares, which must be sent as the answer to the report
    */
   grant(
     report: Report,
     limitsByEntry: ReadonlyMap<string, Share>,
     now: number,
+    renewOnly = false,
   ): RenewGrant["shares"] {
     const key = keyOf(report);
     const account = this.#accounts.get(key);
     if (account === undefined) return [];
     const shares = new Map<string, Share>();
     for (const [entry, regionLimits] of limitsByEntry) {
-      const target = this.#targetShare(entry, regionLimits, { account, now });
+      const target = renewOnly
+        ? outstanding(account, entry)
+        : this.#targetShare(entry, regionLimits, { account, now });
       const others = this.#outstandingOfOthers(entry, key, now);
       shares.set(entry, {
         ratePerS: Math.max(
--- a/tests/limits/leased_tenant_limiter_test.ts
+++ b/tests/limits/leased_tenant_limiter_test.ts
@@ -58,6 +58,9 @@
       lease: {
         held: isLeader,
         confirmed: isLeader,
+        maySendOrders: isLeader,
+        renewalAgeMs: 0,
+        predecessorOrdersEndAt: Number.NEGATIVE_INFINITY,
         term: isLeader ? { startedAt: 0, isFirst: true } : undefined,
         leaderUrl: isLeader ? undefined : "http://a",
       },
--- a/tests/limits/tenant_limits_load_test.ts
+++ b/tests/limits/tenant_limits_load_test.ts
@@ -94,6 +94,21 @@
   assert.ok(fraction < 0.02, `${fraction} refused`);
 });
 
+// Guards against shares that end because the leader cannot renew its lease.
+test("no request is refused while the store is away for 12 s", () => {
+  const { refused } = tenantLoad({
+    seed: 14,
+    vmsPerRegion: 10,
+    tenants: [{ tenant: tenant("a", 24, 24), load: 0.5 }],
+    firstRegion: 0.5,
+    durationMs: 16_000,
+    onStart: (fleet) => {
+      for (const vm of fleet.vms) fleet.cutStore(vm, 12_000);
+    },
+  });
+  assert.equal(refused.get("a"), 0);
+});
+
 // Measures what a killed holder costs; guards against a region that stays
 // without tokens.
 test("a region gets tokens again after its holder was killed", (t) => {
