--- a/dev/bench/tenant_keys.ts
+++ b/dev/bench/tenant_keys.ts
@@ -39,12 +39,12 @@
 function configText(arm: Arm, version: number): string {
   const tenants = Array.from({ length: TENANTS }, (_, tenant) => ({
     name: `tenant-${tenant}`,
-    apiKeys: Array.from(
+    keys: Array.from(
       { length: KEYS_PER_TENANT },
       (_, key) => keyOf(tenant, key),
     ),
     priority: tenant % 3,
-    allowedRegions: ["a"],
+    regions: ["a"],
   }));
   return configRow({
     version,
--- a/src/limits/share_ledger.ts
+++ b/src/limits/share_ledger.ts
@@ -3,6 +3,11 @@
 import { allocateShares } from "./allocate_shares.ts";
 import type { Share } from "./share.ts";
 
+/** The part of a router's report that concerns limits. */
+type Report = Pick<
+  RenewParams,
+  "vm" | "incarnation" | "seq" | "answeredSeq" | "coordinatorEpoch" | "limits"
+>;
 type Shares = ReadonlyMap<string, Share>;
 type Account = {
   vm: string;
@@ -58,7 +63,7 @@
    * @param report - a report newer than the process's previous one
    * @param now - the coordinator's clock, in monotonic milliseconds
    */
-  accept(report: RenewParams, now: number): void {
+  accept(report: Report, now: number): void {
     const key = keyOf(report);
     const known = this.#accounts.get(key);
     const current = known !== undefined && now < known.endsAt
@@ -97,19 +102,23 @@
    * @param report - the router's newest report, recorded with `accept`
    * @param limitsByEntry - the region's limits for each entry
    * @param now - the coordinator's clock, in monotonic milliseconds
+   * @param renewOnly - whether the router gets no more than it may have already
    * @returns the shares, which must be sent as the answer to the report
    */
   grant(
-    report: RenewParams,
+    report: Report,
     limitsByEntry: ReadonlyMap<string, Share>,
     now: number,
+    renewOnly = false,
   ): RenewGrant["shares"] {
     const key = keyOf(report);
     const account = this.#accounts.get(key);
     if (account === undefined) return [];
     const shares = new Map<string, Share>();
     for (const [entry, regionLimits] of limitsByEntry) {
-      const target = this.#targetShare(entry, regionLimits, { account, now });
+      const target = renewOnly
+        ? outstanding(account, entry)
+        : this.#targetShare(entry, regionLimits, { account, now });
       const others = this.#outstandingOfOthers(entry, key, now);
       shares.set(entry, {
         ratePerS: Math.max(
@@ -179,7 +188,7 @@
   }
 }
 
-function keyOf(report: RenewParams): string {
+function keyOf(report: Report): string {
   return `${report.vm}/${report.incarnation}`;
 }
 
--- a/src/rows/table_follower.ts
+++ b/src/rows/table_follower.ts
@@ -114,7 +114,7 @@
    * @returns versions of the rows to which a relay may send differences, by
    * key; undefined if it must send whole rows
    */
-  get rowVersions(): Record<string, number> | undefined {
+  get knownRows(): Record<string, number> | undefined {
     return this.#recentRows?.versions;
   }
 
@@ -238,7 +238,7 @@
    *
    * @param known - version up to which the peer knows the changes
    * @param era - era of the store to which this version belongs
-   * @param rowVersions - versions of the rows to which the peer can apply
+   * @param knownRows - versions of the rows to which the peer can apply
    * differences, by key
    * @returns the later changes; undefined if this VM's feed may be behind, its
    * history does not reach back far enough, or it knows another era
@@ -246,7 +246,7 @@
   changesSince(
     known: number,
     era = 0,
-    rowVersions: Readonly<Record<string, number>> = {},
+    knownRows: Readonly<Record<string, number>> = {},
   ): TableChanges | undefined {
     if (era !== this.#era) return undefined;
     const { ageMs } = this;
@@ -266,7 +266,7 @@
           return { key: change.key, version: change.version };
         }
         const { key, version, value } = change.row;
-        const base = rowVersions[key];
+        const base = knownRows[key];
         const delta = base === undefined
           ? undefined
           : this.#recentRows?.deltaFrom(key, base);
--- a/src/rows/table_relay.ts
+++ b/src/rows/table_relay.ts
@@ -62,6 +62,13 @@
     };
   }
 
+  /**
+   * @returns peer URL of the relay of the region; undefined if it is unknown
+   */
+  get relayUrl(): string | undefined {
+    return this.#relayUrl;
+  }
+
   /**
    * @returns whether this VM is the relay of its region
    */
@@ -127,7 +134,7 @@
     const answer = await peers.call({
       peerUrl,
       method: ChangesQuery.method,
-      params: { ...this.#knownVersions(), rows: this.#rowVersions() },
+      params: { ...this.#knownVersions(), rows: this.#heldRows() },
       result: ChangesQuery.result,
       timeoutMs: QUERY_TIMEOUT_MS,
     }, signal);
@@ -158,10 +165,10 @@
     return Object.keys(eras).length === 0 ? { known } : { known, eras };
   }
 
-  #rowVersions(): Record<string, Record<string, number>> {
+  #heldRows(): Record<string, Record<string, number>> {
     const versions: Record<string, Record<string, number>> = {};
-    for (const { table, rowVersions } of this.#opts.followers) {
-      if (rowVersions !== undefined) versions[table] = rowVersions;
+    for (const { table, knownRows } of this.#opts.followers) {
+      if (knownRows !== undefined) versions[table] = knownRows;
     }
     return versions;
   }
--- a/tests/tenants/tenant_config_test.ts
+++ b/tests/tenants/tenant_config_test.ts
@@ -84,7 +84,10 @@
       { ...route, name: "r2", public: true },
     ],
   };
-  const text = configRow({ ...fields, tenants: [ACME] });
+  const text = configRow({
+    ...fields,
+    tenants: [{ name: "acme", keys: [KEY] }],
+  });
 
   // Guards against a route that a value other than `true` opens, and against
   // keys that are required without `tenants`.
