--- a/src/balance/leave_shares.ts
+++ b/src/balance/leave_shares.ts
@@ -8,9 +8,11 @@
 const TARGET_DEMAND = 0.85;
 /** Other regions are used only if this demand would remain otherwise. */
 const FAR_START_DEMAND = 1.5;
-/** Weight of a new share per update when it rises, and when it falls. */
-const RISE_WEIGHT = 0.5;
-const FALL_WEIGHT = 0.2;
+/** Time constants with which a share rises and falls to its target. */
+const RISE_TIME_CONSTANT_MS = 150;
+const FALL_TIME_CONSTANT_MS = 450;
+/** Assumed time before the first update. */
+const FIRST_UPDATE_MS = 100;
 /** Smaller shares count as none. */
 const MIN_SHARE = 0.01;
 /** Steps of the share that is logged. */
@@ -25,6 +27,7 @@
   #leaving = false;
   #shares = new Map<string, number>();
   #announced = 0;
+  #updatedAt: number | undefined;
 
   /**
    * @returns share of the requests that should leave, as last announced; it
@@ -46,8 +49,11 @@
    *
    * @param own - the VM's own zone
    * @param zones - demands and pressures; gets the shares
+   * @param now - monotonic milliseconds
    */
-  update(own: string, zones: ZonePlan["zones"]): void {
+  update(own: string, zones: ZonePlan["zones"], now: number): void {
+    const elapsedMs = now - (this.#updatedAt ?? now - FIRST_UPDATE_MS);
+    this.#updatedAt = now;
     const home = zones.get(own);
     if (home === undefined) return;
     const { demand } = home;
@@ -61,7 +67,10 @@
       if (zone === own) continue;
       const before = this.#shares.get(zone) ?? 0;
       const target = targets.get(zone) ?? 0;
-      const weight = target > before ? RISE_WEIGHT : FALL_WEIGHT;
+      const timeConstantMs = target > before
+        ? RISE_TIME_CONSTANT_MS
+        : FALL_TIME_CONSTANT_MS;
+      const weight = 1 - Math.exp(-elapsedMs / timeConstantMs);
       const share = before + weight * (target - before);
       figures.share = share < MIN_SHARE && target === 0 ? 0 : share;
       this.#shares.set(zone, figures.share);
--- a/src/balance/local_zone_loads.ts
+++ b/src/balance/local_zone_loads.ts
@@ -1,12 +1,18 @@
 import type { FleetView } from "../direct/fleet_view.ts";
 import { ArrivalRate } from "./arrival_rate.ts";
 import { isBalancedDomain } from "./is_balanced_domain.ts";
+import { zoneCapacities } from "./zone_capacities.ts";
 import type { ZoneLoad } from "./zone_load.ts";
 
 type Arrivals = { mean: ArrivalRate; recent: ArrivalRate };
 
 const MEAN_TIME_CONSTANT_MS = 1000;
 const RECENT_TIME_CONSTANT_MS = 250;
+/**
+ * Weight of the difference between the recent and the mean rate. It makes up for
+ * the age of the figures, about half a second, in a wave.
+ */
+const TREND_WEIGHT = 0.5;
 /** Slower rates are not reported. */
 const MIN_ARRIVALS_PER_S = 0.05;
 /** Bounds the size of a message, whatever operators configure. */
@@ -57,45 +63,37 @@
     const found = new Map<string, ZoneLoad>();
     const loadOf = (service: string, zone: string): ZoneLoad => {
       const key = `${service}\n${zone}`;
-      const load = found.get(key) ?? [service, zone, 0, 0, 0, 0];
+      const load = found.get(key) ??
+        { service, zone, inFlight: 0, slowed: 0, arrivalsPerS: 0 };
       found.set(key, load);
       return load;
     };
     const balanced = this.#balancedServices();
     for (const [service, { mean, recent }] of this.#arrivals) {
-      const perS = mean.perS(now);
-      if (perS < MIN_ARRIVALS_PER_S) this.#arrivals.delete(service);
+      const meanPerS = mean.perS(now);
+      if (meanPerS < MIN_ARRIVALS_PER_S) this.#arrivals.delete(service);
       else if (balanced.has(service)) {
-        const load = loadOf(service, this.#zone);
-        load[2] = round(perS);
-        load[3] = round(recent.perS(now));
+        const recentPerS = recent.perS(now);
+        loadOf(service, this.#zone).arrivalsPerS = recentPerS +
+          TREND_WEIGHT * (recentPerS - meanPerS);
       }
     }
     for (const { entry, load } of this.#view.upstreams) {
       const { inFlight } = load;
       if (inFlight === 0 || !balanced.has(entry.service)) continue;
       const sum = loadOf(entry.service, entry.failureDomain);
-      sum[4] += inFlight;
-      sum[5] = round(sum[5] + inFlight * load.typicalSlowdown(now));
+      sum.inFlight += inFlight;
+      sum.slowed += inFlight * load.typicalSlowdown(now);
     }
     return [...found.values()].slice(0, MAX_LOADS);
   }
 
+  /** Services that are balanced in some failure domain. */
   #balancedServices(): Set<string> {
-    const domains = new Set<string>();
     const services = new Set<string>();
-    for (const { entry } of this.#view.upstreams) {
-      const domain = `${entry.service}\n${entry.failureDomain}`;
-      if (domains.has(domain) || services.has(entry.service)) continue;
-      domains.add(domain);
-      if (isBalancedDomain(this.#view, entry.service, entry.failureDomain)) {
-        services.add(entry.service);
-      }
+    for (const [service, zones] of zoneCapacities(this.#view)) {
+      if ([...zones.values()].some(isBalancedDomain)) services.add(service);
     }
     return services;
   }
 }
-
-function round(value: number): number {
-  return Math.round(value * 10) / 10;
-}
--- /dev/null
+++ b/src/balance/pack_zone_loads.ts
@@ -0,0 +1,21 @@
+import type { PackedZoneLoads } from "./packed_zone_loads.ts";
+import { roundLoad } from "./round_load.ts";
+import type { ZoneLoad } from "./zone_load.ts";
+
+/**
+ * @param loads - loads to be sent
+ * @returns their short form, with rounded figures
+ */
+export function packZoneLoads(loads: readonly ZoneLoad[]): PackedZoneLoads {
+  const zones = [...new Set(loads.map(({ zone }) => zone))];
+  const packed: PackedZoneLoads = { zones, loads: {} };
+  for (const { service, zone, inFlight, slowed, arrivalsPerS } of loads) {
+    const index = zones.indexOf(zone);
+    const work = [roundLoad(inFlight), roundLoad(slowed)] as const;
+    const arrivals = roundLoad(arrivalsPerS);
+    (packed.loads[service] ??= []).push(
+      arrivals === 0 ? [index, ...work] : [index, ...work, arrivals],
+    );
+  }
+  return packed;
+}
--- a/src/balance/pick_balanced.ts
+++ b/src/balance/pick_balanced.ts
@@ -36,10 +36,10 @@
  * the queue of an overloaded zone ends. Fractions were chosen with the model in
  * `tests/balance`; see `docs/design/load-balancing.md`.
  */
-const MARGIN_FRACTION = 0.1;
+const MARGIN_FRACTION = 0.2;
 const SHARE_MARGIN_FRACTION = -0.05;
 /** Other regions are dear, and figures of them are older. */
-const REGION_MARGIN_FRACTION = 0.1;
+const REGION_MARGIN_FRACTION = 0.15;
 
 /**
  * Picks an upstream in the VM's own zone unless another zone is expected to
--- a/src/balance/zone_balancer.ts
+++ b/src/balance/zone_balancer.ts
@@ -2,7 +2,8 @@
 import type { Upstream } from "../direct/upstream.ts";
 import { rendezvousScore } from "../base/rendezvous_score.ts";
 import { isBalancedDomain } from "./is_balanced_domain.ts";
-import type { ZoneFigures } from "./zone_figures.ts";
+import { zoneCapacities } from "./zone_capacities.ts";
+import type { ZoneLoad } from "./zone_load.ts";
 import type { ZonePlan } from "./zone_plan.ts";
 import { zoneDemand } from "./zone_demand.ts";
 import { LeaveShares } from "./leave_shares.ts";
@@ -14,7 +15,7 @@
     service: string,
     zone: string,
     now: number,
-  ) => ZoneFigures | undefined;
+  ) => ZoneLoad | undefined;
   /** @returns mean run time of requests to a service, in milliseconds */
   workMs: (service: string) => number;
   /** Called with each plan: pressure of the own zone, and what should leave. */
@@ -64,9 +65,19 @@
 
   readonly #prefer: ZonePlan["prefer"] = (upstreams, count) => {
     if (upstreams.length <= count) return upstreams;
-    const scores = upstreams.map((upstream) => this.#scoreOf(upstream));
-    const least = scores.toSorted((a, b) => b - a)[count - 1] ?? 0;
-    return upstreams.filter((_, index) => (scores[index] ?? 0) >= least);
+    // The least score of the preferred, without sorting all upstreams.
+    const best: number[] = [];
+    for (const upstream of upstreams) {
+      const score = this.#scoreOf(upstream);
+      if (best.length === count && score <= (best[count - 1] ?? 0)) continue;
+      let index = best.length < count ? best.length : count - 1;
+      for (; index > 0 && (best[index - 1] ?? 0) < score; index--) {
+        best[index] = best[index - 1] ?? 0;
+      }
+      best[index] = score;
+    }
+    const least = best[best.length - 1] ?? 0;
+    return upstreams.filter((upstream) => this.#scoreOf(upstream) >= least);
   };
 
   /** Rendezvous score of an upstream for this VM, which never changes. */
@@ -82,19 +93,15 @@
   #makePlan(service: string, now: number): ZonePlan | undefined {
     const { view, location, figures, workMs, onPlanned, onChanged } =
       this.#opts;
-    if (!isBalancedDomain(view, service, location.failureDomain)) {
+    const capacities = zoneCapacities(view, service).get(service) ??
+      new Map<string, { upstreams: number; slots: number }>();
+    const own = capacities.get(location.failureDomain);
+    if (own === undefined || !isBalancedDomain(own)) {
       this.#drop(service);
       return undefined;
     }
-    const slots = new Map<string, number>();
-    for (const upstream of view.upstreams) {
-      const { entry } = upstream;
-      if (entry.service !== service || !view.isUsable(upstream)) continue;
-      const { failureDomain } = entry;
-      slots.set(failureDomain, (slots.get(failureDomain) ?? 0) + entry.slots);
-    }
     const zones: ZonePlan["zones"] = new Map();
-    for (const [zone, count] of slots) {
+    for (const [zone, { slots }] of capacities) {
       const found = figures(service, zone, now);
       if (found === undefined) {
         if (view.regionOf(zone) !== location.region) continue;
@@ -102,9 +109,9 @@
         return undefined;
       }
       zones.set(zone, {
-        slots: count,
-        pressure: found.inFlight / count,
-        demand: zoneDemand(found, { slots: count, workMs: workMs(service) }),
+        slots,
+        pressure: found.inFlight / slots,
+        demand: zoneDemand(found, { slots, workMs: workMs(service) }),
         share: 0,
         otherRegion: view.regionOf(zone) !== location.region,
       });
@@ -112,7 +119,7 @@
     const shares = this.#shares.get(service) ?? new LeaveShares();
     this.#shares.set(service, shares);
     const before = shares.announced;
-    shares.update(location.failureDomain, zones);
+    shares.update(location.failureDomain, zones, now);
     onPlanned({
       service,
       pressure: zones.get(location.failureDomain)?.pressure ?? 0,
--- a/src/balance/zone_demand.ts
+++ b/src/balance/zone_demand.ts
@@ -1,10 +1,4 @@
-import type { ZoneFigures } from "./zone_figures.ts";
-
-/**
- * Weight of the difference between the recent and the mean rate of arrivals. It
- * makes up for the age of the figures, about half a second, in a wave.
- */
-const TREND_WEIGHT = 0.5;
+import type { ZoneLoad } from "./zone_load.ts";
 
 /**
  * Estimates how many slots a zone needs, relative to those it has, if it serves
@@ -17,12 +11,11 @@
  * @returns needed slots per slot, including those for requests that wait
  */
 export function zoneDemand(
-  figures: ZoneFigures,
+  figures: ZoneLoad,
   { slots, workMs }: { slots: number; workMs: number },
 ): number {
-  const { arrivalsPerS, recentPerS, inFlight, slowed } = figures;
+  const { arrivalsPerS, inFlight, slowed } = figures;
   const slowdown = inFlight === 0 ? 1 : slowed / inFlight;
-  const perS = recentPerS + TREND_WEIGHT * (recentPerS - arrivalsPerS);
-  const needed = Math.max(0, perS) * slowdown * workMs / 1000;
+  const needed = Math.max(0, arrivalsPerS) * slowdown * workMs / 1000;
   return (needed + Math.max(0, inFlight - slots)) / slots;
 }
--- a/src/balance/zone_load.ts
+++ b/src/balance/zone_load.ts
@@ -1,21 +1,13 @@
-import { z } from "zod";
-
-const MAX_NAME_LENGTH = 200;
-const Amount = z.number().nonnegative();
-
-/**
- * Load of one service in one failure domain, as a part of a sum over VMs. A
- * tuple, since it is sent every half second: service, failure domain, arrivals
- * per second (mean of about a second), arrivals per second (mean of about a
- * fifth of a second), requests in flight, and the sum of the slowdowns of their
- * upstreams.
- */
-export const ZoneLoad = z.tuple([
-  z.string().min(1).max(MAX_NAME_LENGTH),
-  z.string().min(1).max(MAX_NAME_LENGTH),
-  Amount,
-  Amount,
-  Amount,
-  Amount,
-]);
-export type ZoneLoad = z.infer<typeof ZoneLoad>;
+/** Load of one service in one failure domain, or a VM's part of it. */
+export type ZoneLoad = {
+  service: string;
+  zone: string;
+  inFlight: number;
+  /** Sum of the slowdowns of their upstreams over the requests in flight. */
+  slowed: number;
+  /**
+   * Expected arrivals per second in the zone, half a second after they were
+   * measured. A part may be negative while its arrivals become fewer.
+   */
+  arrivalsPerS: number;
+};
--- a/src/balance/zone_load_exchange.ts
+++ b/src/balance/zone_load_exchange.ts
@@ -1,6 +1,8 @@
 import type { z } from "zod";
 import type { Clock } from "../base/clock.ts";
-import type { ZoneFigures } from "./zone_figures.ts";
+import { packZoneLoads } from "./pack_zone_loads.ts";
+import type { PackedZoneLoads } from "./packed_zone_loads.ts";
+import { unpackZoneLoads } from "./unpack_zone_loads.ts";
 import type { ZoneLoad } from "./zone_load.ts";
 import type { ZoneLoadMessage } from "./zone_load_message.ts";
 import { ZoneLoadSums } from "./zone_load_sums.ts";
@@ -22,10 +24,15 @@
 /** Relays report to the leader at least every 1.2 s. */
 const REGION_MAX_AGE_MS = 3700;
 const REGION_SETTLE_MS = 1500;
-/** Figures of other regions are requested with every fourth query. */
-const QUERIES_PER_FAR_QUERY = 4;
+/**
+ * VMs whose keys move query their relay more often than every 500 ms; those
+ * queries carry no loads.
+ */
+const MIN_QUERY_INTERVAL_MS = 400;
+/** Figures of other regions are requested with every eighth of these. */
+const QUERIES_PER_FAR_QUERY = 8;
 const NEAR_MAX_AGE_MS = 1800;
-const FAR_MAX_AGE_MS = 5000;
+const FAR_MAX_AGE_MS = 10_000;
 
 /**
  * Exchanges the loads of services and failure domains. Each VM reports its part
@@ -41,8 +48,9 @@
   readonly #regions = new ZoneLoadSums(REGION_MAX_AGE_MS, REGION_SETTLE_MS);
   /** On a relay: what the VMs of other regions add. */
   #others: { loads: readonly ZoneLoad[]; at: number } | undefined;
-  readonly #figures = new Map<string, ZoneFigures>();
+  readonly #figures = new Map<string, ZoneLoad>();
   #queries = 0;
+  #queriedAt = Number.NEGATIVE_INFINITY;
   #answeredAt = Number.NEGATIVE_INFINITY;
   #farAnsweredAt = Number.NEGATIVE_INFINITY;
 
@@ -54,13 +62,16 @@
   }
 
   /**
-   * @returns this VM's part, for its query to the relay
+   * @returns this VM's part, for its query to the relay; undefined if it was
+   * sent shortly before
    */
-  query(): FromVm {
+  query(): FromVm | undefined {
     const { vm, localLoads, clock } = this.#opts;
+    if (clock.now() - this.#queriedAt < MIN_QUERY_INTERVAL_MS) return undefined;
+    this.#queriedAt = clock.now();
     const far = this.#queries % QUERIES_PER_FAR_QUERY === 0;
     this.#queries++;
-    return { vm, loads: localLoads(clock.now()), far };
+    return { vm, own: packZoneLoads(localLoads(clock.now())), far };
   }
 
   /**
@@ -72,11 +83,22 @@
   onQuery(query: FromVm | undefined): FromRelay | undefined {
     if (query === undefined) return undefined;
     const now = this.#opts.clock.now();
-    this.#vms.set(query.vm, query.loads, now);
+    this.#vms.set(query.vm, unpackZoneLoads(query.own), now);
     const own = this.#vms.sums(now);
     if (own === undefined) return undefined;
-    const { near, far } = this.#split(addUp(own, this.#othersAt(now)));
-    return query.far ? { near, far } : { near };
+    const { regionOf, region } = this.#opts;
+    const all = addUp(own, this.#othersAt(now));
+    const near = packZoneLoads(
+      all.filter(({ zone }) => regionOf(zone) === region),
+    );
+    return query.far
+      ? {
+        near,
+        far: packZoneLoads(
+          all.filter(({ zone }) => regionOf(zone) !== region),
+        ),
+      }
+      : { near };
   }
 
   /**
@@ -93,15 +115,11 @@
       const zone = key.slice(key.indexOf("\n") + 1);
       if (isNear(zone) || answer.far !== undefined) this.#figures.delete(key);
     }
-    for (const load of [...answer.near, ...(answer.far ?? [])]) {
-      const [service, zone, arrivalsPerS, recentPerS, inFlight, slowed] = load;
-      this.#figures.set(`${service}\n${zone}`, {
-        arrivalsPerS,
-        recentPerS,
-        inFlight,
-        slowed,
-        at: sentAt,
-      });
+    for (const packed of [answer.near, answer.far]) {
+      if (packed === undefined) continue;
+      for (const load of unpackZoneLoads(packed)) {
+        this.#figures.set(`${load.service}\n${load.zone}`, load);
+      }
     }
     this.#answeredAt = sentAt;
     if (answer.far !== undefined) this.#farAnsweredAt = sentAt;
@@ -115,8 +133,9 @@
   /**
    * @returns on a relay, the sums over its region for the report to the leader
    */
-  regionLoads(): ZoneLoad[] | undefined {
-    return this.#vms.sums(this.#opts.clock.now());
+  regionLoads(): PackedZoneLoads | undefined {
+    const sums = this.#vms.sums(this.#opts.clock.now());
+    return sums === undefined ? undefined : packZoneLoads(sums);
   }
 
   /**
@@ -128,12 +147,13 @@
    */
   onRegionLoads(
     region: string,
-    loads: readonly ZoneLoad[] | undefined,
-  ): ZoneLoad[] | undefined {
+    loads: PackedZoneLoads | undefined,
+  ): PackedZoneLoads | undefined {
     if (loads === undefined) return undefined;
     const now = this.#opts.clock.now();
-    this.#regions.set(region, loads, now);
-    return this.#regions.sums(now, region);
+    this.#regions.set(region, unpackZoneLoads(loads), now);
+    const sums = this.#regions.sums(now, region);
+    return sums === undefined ? undefined : packZoneLoads(sums);
   }
 
   /**
@@ -141,9 +161,12 @@
    *
    * @param loads - the sums over the other regions
    */
-  onOtherRegions(loads: readonly ZoneLoad[] | undefined): void {
+  onOtherRegions(loads: PackedZoneLoads | undefined): void {
     if (loads === undefined) return;
-    this.#others = { loads, at: this.#opts.clock.now() };
+    this.#others = {
+      loads: unpackZoneLoads(loads),
+      at: this.#opts.clock.now(),
+    };
   }
 
   /**
@@ -156,13 +179,13 @@
     service: string,
     zone: string,
     now: number,
-  ): ZoneFigures | undefined {
+  ): ZoneLoad | undefined {
     const { regionOf, region } = this.#opts;
     const near = regionOf(zone) === region;
     const at = near ? this.#answeredAt : this.#farAnsweredAt;
     if (now - at > (near ? NEAR_MAX_AGE_MS : FAR_MAX_AGE_MS)) return undefined;
     return this.#figures.get(`${service}\n${zone}`) ??
-      { arrivalsPerS: 0, recentPerS: 0, inFlight: 0, slowed: 0, at };
+      { service, zone, inFlight: 0, slowed: 0, arrivalsPerS: 0 };
   }
 
   #othersAt(now: number): readonly ZoneLoad[] {
@@ -170,16 +193,6 @@
     if (others === undefined || now - others.at > REGION_MAX_AGE_MS) return [];
     return others.loads;
   }
-
-  #split(loads: readonly ZoneLoad[]): { near: ZoneLoad[]; far: ZoneLoad[] } {
-    const { regionOf, region } = this.#opts;
-    const near: ZoneLoad[] = [];
-    const far: ZoneLoad[] = [];
-    for (const load of loads) {
-      (regionOf(load[1]) === region ? near : far).push(load);
-    }
-    return { near, far };
-  }
 }
 
 function addUp(
--- a/src/balance/zone_load_sums.ts
+++ b/src/balance/zone_load_sums.ts
@@ -50,17 +50,13 @@
     if (this.#since === undefined || now - this.#since < this.#settleMs) {
       return undefined;
     }
-    const own = this.#parts.get(except ?? "")?.loads ?? [];
+    const left = this.#parts.get(except ?? "")?.loads ?? [];
     return [...this.#sums.values()].map(({ load }) => {
-      const [service, zone, ...amounts] = load;
-      const left = own.find((part) => part[0] === service && part[1] === zone);
-      const rounded = amounts.map((amount, index) =>
-        Math.max(
-          0,
-          Math.round((amount - Number(left?.[index + 2] ?? 0)) * 10) / 10,
-        )
-      );
-      return [service, zone, ...rounded] as ZoneLoad;
+      const sum = { ...load };
+      for (const part of left) {
+        if (keyOf(part) === keyOf(load)) addTo(sum, part, -1);
+      }
+      return sum;
     });
   }
 
@@ -76,31 +72,33 @@
     const part = this.#parts.get(reporter);
     if (part === undefined) return;
     this.#parts.delete(reporter);
-    for (const [service, zone, ...amounts] of part.loads) {
-      const key = `${service}\n${zone}`;
-      const sum = this.#sums.get(key);
+    for (const load of part.loads) {
+      const sum = this.#sums.get(keyOf(load));
       if (sum === undefined) continue;
       sum.parts--;
-      if (sum.parts === 0) this.#sums.delete(key);
-      else addTo(sum.load, amounts, -1);
+      if (sum.parts === 0) this.#sums.delete(keyOf(load));
+      else addTo(sum.load, load, -1);
     }
   }
 
-  #add([service, zone, ...amounts]: ZoneLoad): void {
-    const key = `${service}\n${zone}`;
-    let sum = this.#sums.get(key);
+  #add(load: ZoneLoad): void {
+    const sum = this.#sums.get(keyOf(load));
     if (sum === undefined) {
-      sum = { load: [service, zone, 0, 0, 0, 0], parts: 0 };
-      this.#sums.set(key, sum);
+      this.#sums.set(keyOf(load), { load: { ...load }, parts: 1 });
+      return;
     }
     sum.parts++;
-    addTo(sum.load, amounts, 1);
+    addTo(sum.load, load, 1);
   }
 }
 
-function addTo(load: ZoneLoad, amounts: readonly number[], sign: 1 | -1): void {
-  load[2] += sign * (amounts[0] ?? 0);
-  load[3] += sign * (amounts[1] ?? 0);
-  load[4] += sign * (amounts[2] ?? 0);
-  load[5] += sign * (amounts[3] ?? 0);
+function keyOf({ service, zone }: ZoneLoad): string {
+  return `${service}\n${zone}`;
+}
+
+/** The clamps are for the rounding errors of sums from which parts were taken. */
+function addTo(sum: ZoneLoad, part: ZoneLoad, sign: 1 | -1): void {
+  sum.inFlight = Math.max(0, sum.inFlight + sign * part.inFlight);
+  sum.slowed = Math.max(0, sum.slowed + sign * part.slowed);
+  sum.arrivalsPerS += sign * part.arrivalsPerS;
 }
--- a/src/direct/choose_upstream.ts
+++ b/src/direct/choose_upstream.ts
@@ -222,7 +222,8 @@
     : query.balancer?.plan(service, now);
   if (plan !== undefined) {
     const balanced = pickBalanced({
-      ...query,
+      workMs: query.workMs,
+      remainingMs: query.remainingMs,
       plan,
       zone: location.failureDomain,
       upstreams,
