--- a/src/balance/local_zone_loads.ts
+++ b/src/balance/local_zone_loads.ts
@@ -10,7 +10,7 @@
 const RECENT_TIME_CONSTANT_MS = 250;
 /**
  * Weight of the difference between the recent and the mean rate. It makes up for
- * the age of the figures, about half a second, in a wave.
+ * some of the age of the figures, about a second, in a wave.
  */
 const TREND_WEIGHT = 0.5;
 /** Slower rates are not reported. */
@@ -57,33 +57,48 @@
 
   /**
    * @param now - monotonic milliseconds
-   * @returns this VM's part of the loads, without those that are zero
+   * @returns this VM's part of the loads, without those that are zero;
+   * undefined if no service is balanced
    */
-  loads(now: number): ZoneLoad[] {
+  loads(now: number): ZoneLoad[] | undefined {
+    const balanced = this.#balancedServices();
+    if (balanced.size === 0) return undefined;
     const found = new Map<string, ZoneLoad>();
     const loadOf = (service: string, zone: string): ZoneLoad => {
       const key = `${service}\n${zone}`;
       const load = found.get(key) ??
-        { service, zone, inFlight: 0, slowed: 0, arrivalsPerS: 0 };
+        { service, zone, inFlight: 0, workPerS: 0 };
       found.set(key, load);
       return load;
     };
-    const balanced = this.#balancedServices();
     for (const [service, { mean, recent }] of this.#arrivals) {
       const meanPerS = mean.perS(now);
       if (meanPerS < MIN_ARRIVALS_PER_S) this.#arrivals.delete(service);
       else if (balanced.has(service)) {
         const recentPerS = recent.perS(now);
-        loadOf(service, this.#zone).arrivalsPerS = recentPerS +
-          TREND_WEIGHT * (recentPerS - meanPerS);
+        const perS = recentPerS + TREND_WEIGHT * (recentPerS - meanPerS);
+        loadOf(service, this.#zone).workPerS = perS;
       }
     }
+    // Sums of the slowdowns of the own zone's upstreams, by service.
+    const slowdowns = new Map<string, { sum: number; upstreams: number }>();
     for (const { entry, load } of this.#view.upstreams) {
-      const { inFlight } = load;
-      if (inFlight === 0 || !balanced.has(entry.service)) continue;
-      const sum = loadOf(entry.service, entry.failureDomain);
-      sum.inFlight += inFlight;
-      sum.slowed += inFlight * load.typicalSlowdown(now);
+      const { service, failureDomain } = entry;
+      if (!balanced.has(service)) continue;
+      if (load.inFlight > 0) {
+        loadOf(service, failureDomain).inFlight += load.inFlight;
+      }
+      if (failureDomain !== this.#zone) continue;
+      const { sum, upstreams } = slowdowns.get(service) ??
+        { sum: 0, upstreams: 0 };
+      slowdowns.set(service, {
+        sum: sum + load.typicalSlowdown(now),
+        upstreams: upstreams + 1,
+      });
+    }
+    for (const [service, { sum, upstreams }] of slowdowns) {
+      const load = found.get(`${service}\n${this.#zone}`);
+      if (load !== undefined) load.workPerS *= sum / upstreams;
     }
     return [...found.values()].slice(0, MAX_LOADS);
   }
--- a/src/balance/pack_zone_loads.ts
+++ b/src/balance/pack_zone_loads.ts
@@ -9,12 +9,12 @@
 export function packZoneLoads(loads: readonly ZoneLoad[]): PackedZoneLoads {
   const zones = [...new Set(loads.map(({ zone }) => zone))];
   const packed: PackedZoneLoads = { zones, loads: {} };
-  for (const { service, zone, inFlight, slowed, arrivalsPerS } of loads) {
+  for (const { service, zone, inFlight, workPerS } of loads) {
     const index = zones.indexOf(zone);
-    const work = [roundLoad(inFlight), roundLoad(slowed)] as const;
-    const arrivals = roundLoad(arrivalsPerS);
+    const requests = roundLoad(inFlight);
+    const work = roundLoad(workPerS);
     (packed.loads[service] ??= []).push(
-      arrivals === 0 ? [index, ...work] : [index, ...work, arrivals],
+      work === 0 ? [index, requests] : [index, requests, work],
     );
   }
   return packed;
--- a/src/balance/packed_zone_loads.ts
+++ b/src/balance/packed_zone_loads.ts
@@ -14,14 +14,14 @@
   zones: z.array(Name).max(MAX_ITEMS),
   /**
    * By service, for each zone with load: index of the zone, requests in flight,
-   * sum of their slowdowns, and arrivals per second, absent if 0.
+   * and arriving work per second, absent if 0.
    */
   loads: z.record(
     Name,
     z.array(
       z.union([
-        z.tuple([z.int().nonnegative(), Amount, Amount, z.number()]),
-        z.tuple([z.int().nonnegative(), Amount, Amount]),
+        z.tuple([z.int().nonnegative(), Amount, z.number()]),
+        z.tuple([z.int().nonnegative(), Amount]),
       ]),
     ).max(MAX_ITEMS),
   ),
--- a/src/balance/unpack_zone_loads.ts
+++ b/src/balance/unpack_zone_loads.ts
@@ -8,10 +8,10 @@
 export function unpackZoneLoads(packed: PackedZoneLoads): ZoneLoad[] {
   const loads: ZoneLoad[] = [];
   for (const [service, entries] of Object.entries(packed.loads)) {
-    for (const [index, inFlight, slowed, arrivalsPerS = 0] of entries) {
+    for (const [index, inFlight, workPerS = 0] of entries) {
       const zone = packed.zones[index];
       if (zone === undefined) continue;
-      loads.push({ service, zone, inFlight, slowed, arrivalsPerS });
+      loads.push({ service, zone, inFlight, workPerS });
     }
   }
   return loads;
--- a/src/balance/zone_demand.ts
+++ b/src/balance/zone_demand.ts
@@ -14,8 +14,7 @@
   figures: ZoneLoad,
   { slots, workMs }: { slots: number; workMs: number },
 ): number {
-  const { arrivalsPerS, inFlight, slowed } = figures;
-  const slowdown = inFlight === 0 ? 1 : slowed / inFlight;
-  const needed = Math.max(0, arrivalsPerS) * slowdown * workMs / 1000;
+  const { workPerS, inFlight } = figures;
+  const needed = Math.max(0, workPerS) * workMs / 1000;
   return (needed + Math.max(0, inFlight - slots)) / slots;
 }
--- a/src/balance/zone_load.ts
+++ b/src/balance/zone_load.ts
@@ -3,11 +3,10 @@
   service: string;
   zone: string;
   inFlight: number;
-  /** Sum of the slowdowns of their upstreams over the requests in flight. */
-  slowed: number;
   /**
-   * Expected arrivals per second in the zone, half a second after they were
-   * measured. A part may be negative while its arrivals become fewer.
+   * Arrivals per second in the zone, extrapolated by some of their trend, each
+   * counted with the slowdown of the zone's upstreams. A part may be negative
+   * while its arrivals become fewer.
    */
-  arrivalsPerS: number;
+  workPerS: number;
 };
--- a/src/balance/zone_load_exchange.ts
+++ b/src/balance/zone_load_exchange.ts
@@ -14,8 +14,8 @@
   /** Region of this VM. */
   region: string;
   regionOf: (zone: string) => string;
-  /** @returns this VM's part of the loads */
-  localLoads: (now: number) => ZoneLoad[];
+  /** @returns this VM's part of the loads; undefined if none are needed */
+  localLoads: (now: number) => ZoneLoad[] | undefined;
   clock: Clock;
 };
 /** VMs query their relay every 500 ms; one lost query changes nothing. */
@@ -29,10 +29,13 @@
  * queries carry no loads.
  */
 const MIN_QUERY_INTERVAL_MS = 400;
-/** Figures of other regions are requested with every eighth of these. */
-const QUERIES_PER_FAR_QUERY = 8;
+/**
+ * Figures of other regions are requested with every fourth of these. With ages
+ * of 4 s instead of 2 s, fewer requests were in time in the model's waves.
+ */
+const QUERIES_PER_FAR_QUERY = 4;
 const NEAR_MAX_AGE_MS = 1800;
-const FAR_MAX_AGE_MS = 10_000;
+const FAR_MAX_AGE_MS = 6000;
 
 /**
  * Exchanges the loads of services and failure domains. Each VM reports its part
@@ -63,15 +66,19 @@
 
   /**
    * @returns this VM's part, for its query to the relay; undefined if it was
-   * sent shortly before
+   * sent shortly before or no service is balanced
    */
   query(): FromVm | undefined {
     const { vm, localLoads, clock } = this.#opts;
-    if (clock.now() - this.#queriedAt < MIN_QUERY_INTERVAL_MS) return undefined;
-    this.#queriedAt = clock.now();
+    const now = clock.now();
+    if (now - this.#queriedAt < MIN_QUERY_INTERVAL_MS) return undefined;
+    const loads = localLoads(now);
+    if (loads === undefined) return undefined;
+    this.#queriedAt = now;
     const far = this.#queries % QUERIES_PER_FAR_QUERY === 0;
     this.#queries++;
-    return { vm, own: packZoneLoads(localLoads(clock.now())), far };
+    const own = packZoneLoads(loads);
+    return far ? { vm, own, far } : { vm, own };
   }
 
   /**
@@ -87,11 +94,13 @@
     const own = this.#vms.sums(now);
     if (own === undefined) return undefined;
     const { regionOf, region } = this.#opts;
-    const all = addUp(own, this.#othersAt(now));
+    const others = this.#othersAt(now);
+    const all = addUp(own, others ?? []);
     const near = packZoneLoads(
       all.filter(({ zone }) => regionOf(zone) === region),
     );
-    return query.far
+    // Without the leader's sums, other regions would seem to be idle.
+    return query.far === true && others !== undefined
       ? {
         near,
         far: packZoneLoads(
@@ -185,13 +194,14 @@
     const at = near ? this.#answeredAt : this.#farAnsweredAt;
     if (now - at > (near ? NEAR_MAX_AGE_MS : FAR_MAX_AGE_MS)) return undefined;
     return this.#figures.get(`${service}\n${zone}`) ??
-      { service, zone, inFlight: 0, slowed: 0, arrivalsPerS: 0 };
+      { service, zone, inFlight: 0, workPerS: 0 };
   }
 
-  #othersAt(now: number): readonly ZoneLoad[] {
+  #othersAt(now: number): readonly ZoneLoad[] | undefined {
     const others = this.#others;
-    if (others === undefined || now - others.at > REGION_MAX_AGE_MS) return [];
-    return others.loads;
+    return others === undefined || now - others.at > REGION_MAX_AGE_MS
+      ? undefined
+      : others.loads;
   }
 }
 
--- a/src/balance/zone_load_message.ts
+++ b/src/balance/zone_load_message.ts
@@ -8,7 +8,7 @@
     vm: z.string(),
     own: PackedZoneLoads,
     /** Whether the VM wants the loads in other regions as well. */
-    far: z.boolean(),
+    far: z.boolean().optional(),
   }),
   /** Of the relay, to a VM. */
   fromRelay: z.object({
--- a/src/balance/zone_load_sums.ts
+++ b/src/balance/zone_load_sums.ts
@@ -96,9 +96,8 @@
   return `${service}\n${zone}`;
 }
 
-/** The clamps are for the rounding errors of sums from which parts were taken. */
+/** The clamp is for the rounding errors of sums from which parts were taken. */
 function addTo(sum: ZoneLoad, part: ZoneLoad, sign: 1 | -1): void {
   sum.inFlight = Math.max(0, sum.inFlight + sign * part.inFlight);
-  sum.slowed = Math.max(0, sum.slowed + sign * part.slowed);
-  sum.arrivalsPerS += sign * part.arrivalsPerS;
+  sum.workPerS += sign * part.workPerS;
 }
