--- a/src/balance/pick_balanced.ts
+++ b/src/balance/pick_balanced.ts
@@ -61,20 +61,24 @@
   const home = byZone.get(zone);
   if (home === undefined) return undefined;
   const limitMs = Math.min(request.objectiveMs, request.remainingMs);
-  let picked = pickInZone(request, home);
-  if (picked.expectedMs <= STAY_FRACTION * limitMs) return picked;
-  let minCostMs = picked.costMs;
+  const best = pickInZone(request, home);
+  if (best.expectedMs <= STAY_FRACTION * limitMs) return best;
+  let picked = best;
+  let minCostMs = best.costMs;
   for (const [other, list] of byZone) {
     const figures = plan.zones.get(other);
     if (other === zone || figures === undefined) continue;
-    const marginMs = limitMs * marginFraction(figures);
     // The VM's own estimates of upstreams that it seldom uses are old. The
     // shared figures tell of a queue that they miss.
     const queuedMs = Math.max(0, figures.pressure - 1) * request.workMs;
-    if (queuedMs + request.workMs + marginMs >= minCostMs) continue;
+    const leastMs = queuedMs + request.workMs;
+    if (leastMs >= best.costMs) continue;
     const rated = pickInZone(request, list);
-    const costMs = Math.max(rated.costMs, queuedMs + request.workMs) +
-      marginMs;
+    // Only the other zone is expected to meet the objective.
+    const rescues = !figures.otherRegion && best.expectedMs > limitMs &&
+      Math.max(rated.expectedMs, leastMs) <= limitMs;
+    const marginMs = rescues ? 0 : limitMs * marginFraction(figures);
+    const costMs = Math.max(rated.costMs, leastMs) + marginMs;
     if (costMs >= minCostMs) continue;
     minCostMs = costMs;
     picked = rated;
--- a/tests/balance/pick_balanced_test.ts
+++ b/tests/balance/pick_balanced_test.ts
@@ -86,6 +86,23 @@
     assert.deepEqual(zonesOf(chooseZone), new Set(["a2"]));
   });
 
+  it("leaves for less if only the other zone would meet the objective", () => {
+    const setup = (a1: number, a2: number) => ({
+      inFlight: { a1, a2, b1: 12 },
+      figures: { a1: 10 * a1, a2: 10 * a2, b1: 120 },
+    });
+    // 602 ms at home and 502 ms in the other zone, of 600 ms.
+    assert.deepEqual(
+      zonesOf(createRig(setup(11, 9)).chooseZone),
+      new Set(["a2"]),
+    );
+    // 552 ms and 452 ms.
+    assert.deepEqual(
+      zonesOf(createRig(setup(10, 8)).chooseZone),
+      new Set(["a1"]),
+    );
+  });
+
   // The VM has sent nothing there lately, so its own estimate is that of idle
   // upstreams.
   it("stays when the shared figures tell of a longer queue elsewhere", () => {
