--- a/src/rows/table_relay.ts
+++ b/src/rows/table_relay.ts
@@ -1,5 +1,6 @@
 import type { z } from "zod";
 import { ChangeNotifier } from "../base/change_notifier.ts";
+import type { ZoneLoadExchange } from "../balance/zone_load_exchange.ts";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
 import type { RpcHandler } from "../links/rpc_handler.ts";
@@ -16,6 +17,8 @@
   /** Peer URL of this VM. */
   selfUrl: string;
   peers: PeerClient;
+  /** Loads that are exchanged with the queries. */
+  loads?: ZoneLoadExchange;
   clock: Clock;
   logger: Logger;
   signal: AbortSignal;
@@ -55,10 +58,13 @@
     this.handler = {
       method: ChangesQuery.method,
       params: ChangesQuery.params,
-      handle: (params) =>
-        Promise.resolve({
-          changes: this.#changesSince(ChangesQuery.params.parse(params)),
-        }),
+      handle: (params) => {
+        const query = ChangesQuery.params.parse(params);
+        return Promise.resolve({
+          changes: this.#changesSince(query),
+          loads: opts.loads?.onQuery(query.loads),
+        });
+      },
     };
   }
 
@@ -117,6 +123,7 @@
       const url = this.#relayUrl;
       if (url === undefined || this.isRelay) this.#onRelayLost();
       else await this.#queryRelay(url);
+      if (this.isRelay) this.#opts.loads?.queryOwn();
       const queriedAt = clock.now();
       await waitForChange(
         { clock, ms: intervalMs, notifiers: [this.#queryNeeded] },
@@ -134,7 +141,11 @@
     const answer = await peers.call({
       peerUrl,
       method: ChangesQuery.method,
-      params: { ...this.#knownVersions(), rows: this.#heldRows() },
+      params: {
+        ...this.#knownVersions(),
+        rows: this.#heldRows(),
+        loads: this.#opts.loads?.query(),
+      },
       result: ChangesQuery.result,
       timeoutMs: QUERY_TIMEOUT_MS,
     }, signal);
@@ -146,7 +157,8 @@
       this.#onRelayLost();
       return;
     }
-    const { changes } = answer.value;
+    const { changes, loads } = answer.value;
+    this.#opts.loads?.onAnswer(loads, sentAt);
     for (const follower of followers) {
       const found = changes[follower.table];
       if (found === undefined) follower.onRelayLost();
