feat(clients): bound what clients hold, by one budget for all listeners

Clients could end the process with legal requests: Node.js parses all of a read chunk at once, so that pipelined heads of many lines or pipelined requests with unread responses take many times their bytes, and nothing bounded connections.

One budget now counts connections, heads, bytes read ahead and unread responses of the listeners for callers, readiness, metrics and other VMs. A connection passes one head at a time to the parser, and the next one when the kernel has taken the response. Lines are counted before they are parsed; heads with too many get 431. Without memory, stalled connections are closed, then requests get 503 (not run). New connections at the limit replace the oldest unused one. The number of connections between VMs is not limited. Small chunks of a body are joined as they arrive. The listener's `end` handler is one for each connection; Node.js warned of a leak before.

Not covered: `fescuerun serve`, since a test of its listener expects malformed bytes after a request in flight to be parsed at once; the first 256 KiB of an answer while it is read.

--- a/src/direct/caller_body.ts
+++ b/src/direct/caller_body.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { ByteBudget } from "../limits/byte_budget.ts";
+import { GrowingBuffer } from "./growing_buffer.ts";
 
 type Result =
   | { kind: "read"; body: Uint8Array }
@@ -40,8 +41,7 @@
     const refusal = this.#reserve(length, maxBytes);
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
-      let size = 0;
+      const received = new GrowingBuffer(length);
       const end = (result: Result) => {
         req.off("data", onData).off("end", onEnd).off("close", onClose);
         signal.removeEventListener("abort", onAbort);
@@ -50,19 +50,11 @@
         resolve(result);
       };
       const onData = (chunk: Buffer) => {
-        size += chunk.length;
-        const refused = this.#reserve(size, maxBytes);
-        if (refused === undefined) chunks.push(chunk);
+        const refused = this.#reserve(received.size + chunk.length, maxBytes);
+        if (refused === undefined) received.append(chunk);
         else end(refused);
       };
-      const onEnd = () => {
-        const [first] = chunks;
-        // Avoids a copy of the usual body.
-        const body = first !== undefined && chunks.length === 1
-          ? first
-          : Buffer.concat(chunks, size);
-        end({ kind: "read", body });
-      };
+      const onEnd = () => end({ kind: "read", body: received.bytes });
       const onClose = () => end({ kind: "gone" });
       const onAbort = () => end({ kind: "slow" });
       if (req.destroyed) onClose();
--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -15,6 +15,7 @@
 import { TableFollower } from "../rows/table_follower.ts";
 import { TableRelay } from "../rows/table_relay.ts";
 import { HttpPeerClient } from "../vms/http_peer_client.ts";
+import { createClientBudget } from "./create_client_budget.ts";
 import { DirectListener } from "./direct_listener.ts";
 import type { DirectMetrics } from "./direct_metrics.ts";
 import { DirectRouter } from "./direct_router.ts";
@@ -222,7 +223,14 @@
       bound: cfg.retries,
       vms: () => view.vms,
     });
+    const clients = createClientBudget({
+      cfg: cfg.clients,
+      clock,
+      logger,
+      metrics,
+    });
     this.#callerListener = new DirectListener({
+      clients,
       clock,
       logger,
       router: new DirectRouter({
@@ -257,16 +265,17 @@
       requests: PEER_REQUEST_LIMITS,
       rpc: (req, res) => void rpc(req, res),
       hop: undefined,
+      clients,
       logger,
     });
     this.#readinessListener = new TextListener(opts.readinessPath, () => {
       const ready = this.#isReady();
       return { status: ready ? 200 : 503, text: ready ? "ready" : "not ready" };
-    });
+    }, { clock, budget: clients });
     this.#metricsListener = new TextListener(METRICS_PATH, async () => ({
       status: 200,
       text: await metrics.registry.metrics(),
-    }));
+    }), { clock, budget: clients });
   }
 
   /**
--- a/src/direct/direct_listener.ts
+++ b/src/direct/direct_listener.ts
@@ -6,6 +6,7 @@
 import type { Logger } from "../base/logger.ts";
 import { refuseUnparsableRequest } from "../entry/refuse_unparsable_request.ts";
 import { ByteBudget } from "../limits/byte_budget.ts";
+import { ClientBudget } from "../limits/client_budget.ts";
 import { DrainingServer } from "../links/draining_server.ts";
 import { endToEndHeaders } from "../links/end_to_end_headers.ts";
 import { hasBody } from "../links/has_body.ts";
@@ -31,6 +32,8 @@
   metrics: Pick<DirectMetrics, "refusedBodies">;
   /** Shortest time for which a drain accepts connections, in milliseconds. */
   readinessDelayMs: number;
+  /** Budget of clients; unlimited if undefined. */
+  clients?: ClientBudget | undefined;
 };
 
 /** Above the limit in the configuration, which callers already respect. */
@@ -50,6 +53,12 @@
  * so that it closes none on which a request is arriving.
  */
 const IDLE_TIMEOUT_MARGIN_MS = 2000;
+const UNLIMITED_CLIENTS = {
+  memoryBytes: Infinity,
+  connections: Infinity,
+  headerLines: Infinity,
+  unreadTimeoutMs: Infinity,
+};
 
 /** Accepts callers' requests and writes the answers and refusals. */
 export class DirectListener {
@@ -78,6 +87,10 @@
       handle: (req, res, expectsContinue) =>
         void this.#handle(req, res, expectsContinue),
       isAuxiliary: () => false,
+      clients: {
+        budget: opts.clients ?? new ClientBudget(UNLIMITED_CLIENTS),
+        kind: "callers",
+      },
     });
     // Missing in the types. Without it, Node.js closes a connection as soon as
     // the caller sends its end, also while a request is in flight.
@@ -147,10 +160,11 @@
     const disconnected = new AbortController();
     const closed = new AbortController();
     const onEnd = () => disconnected.abort();
-    req.socket.once("end", onEnd);
+    const connection = this.#server.clients?.connectionOf(req.socket);
+    connection?.addEndListener(onEnd);
     req.on("error", () => undefined);
     res.once("close", () => {
-      req.socket.off("end", onEnd);
+      connection?.removeEndListener(onEnd);
       if (res.writableFinished) return;
       closed.abort();
       disconnected.abort();
@@ -310,6 +324,13 @@
       case "answered": {
         if (res.destroyed) return;
         const { status, headers, body, framed } = outcome;
+        // The request has run, so that there is no refusal to send instead.
+        const connection = this.#server.clients?.connectionOf(req.socket);
+        if (connection?.hold(body.length) !== true) {
+          this.#opts.clients?.report("memory");
+          res.destroy();
+          return;
+        }
         const bodiless = req.method === "HEAD" || status === 204 ||
           status === 304;
         if (framed && !bodiless) {
--- a/src/direct/direct_metrics.ts
+++ b/src/direct/direct_metrics.ts
@@ -58,6 +58,19 @@
     labelNames: ["reason"] as const,
     registers: [this.registry],
   });
+  /** Clients that were refused or closed because of a limit, by reason. */
+  readonly limitedClients = new Counter({
+    name: "fescuerun_limited_clients_total",
+    help: "Clients refused or closed because of a limit, by reason.",
+    labelNames: ["reason"] as const,
+    registers: [this.registry],
+  });
+  /** Memory that clients hold, by estimate. */
+  readonly clientMemory: Gauge & { collect?: () => void } = new Gauge({
+    name: "fescuerun_client_memory_bytes",
+    help: "Estimated memory that requests and connections of clients hold.",
+    registers: [this.registry],
+  });
   /** Parts of the newest configuration that are not in use. */
   readonly configProblems = new Gauge({
     name: "fescuerun_config_problems",
--- a/src/direct/direct_settings.ts
+++ b/src/direct/direct_settings.ts
@@ -1,3 +1,5 @@
+import type { ClientLimits } from "../limits/client_limits.ts";
+
 /** Settings of a VM that sends requests directly to upstreams. */
 export type DirectSettings = {
   vm: string;
@@ -28,6 +30,8 @@
   maxHoldMs: number;
   /** Memory for the bodies of all requests, in bytes. */
   bodyMemoryBytes: number;
+  /** What clients may hold. */
+  clients: ClientLimits;
   /** Processor cores of the VM; undefined if it is not known. */
   cores: number | undefined;
 };
--- a/src/entry/refuse_unparsable_request.ts
+++ b/src/entry/refuse_unparsable_request.ts
@@ -19,14 +19,28 @@
       message: "the headers arrive too slowly",
     };
   }
+  if (code === "ERR_CLIENT_MEMORY") {
+    return {
+      code: "overloaded",
+      outcome: "not_run",
+      message: "no memory is left for requests",
+    };
+  }
   return undefined;
 }
 
+/**
+ * Retry delay in seconds for clients for whose requests there is no memory;
+ * that of others is released within some hundred milliseconds.
+ */
+const RETRY_AFTER_S = "0.500";
+
 /**
  * Refuses a request that could not be parsed and closes its connection.
  *
  * @param socket - connection without a request in flight
- * @param code - error code that the Node.js server reported
+ * @param code - error code that the Node.js server reported, or
+ * `ERR_CLIENT_MEMORY` if the memory for clients is in use
  * @returns code of the refusal; undefined if the response is a plain 400
  */
 export function refuseUnparsableRequest(
@@ -47,6 +61,7 @@
     `${HOP_HEADER.outcome}: ${refusal.outcome}`,
     `${HOP_HEADER.requestId}: ${requestId}`,
     "Connection: close",
+    ...(refusal.code === "overloaded" ? [`Retry-After: ${RETRY_AFTER_S}`] : []),
   ];
   socket.end(`${lines.join("\r\n")}\r\n\r\n${json}`);
   return refusal.code;
--- a/src/links/draining_server.ts
+++ b/src/links/draining_server.ts
@@ -8,6 +8,9 @@
 import { Server as NetServer, type Socket } from "node:net";
 import { afterNextPoll } from "../base/after_next_poll.ts";
 import type { Clock } from "../base/clock.ts";
+import type { ClientBudget } from "../limits/client_budget.ts";
+import type { ClientKind } from "../limits/client_kind.ts";
+import { ClientGate } from "./client_gate.ts";
 
 /** Interval of the checks whether a drain may proceed. */
 const DRAIN_CHECK_MS = 50;
@@ -35,6 +38,8 @@
  */
 export class DrainingServer {
   readonly #server: Server;
+  /** Limits what the connections hold; undefined without a budget. */
+  readonly clients: ClientGate | undefined;
   readonly #clock: Clock;
   readonly #isAuxiliary: (req: IncomingMessage) => boolean;
   readonly #connections = new Map<Socket, Connection>();
@@ -45,8 +50,9 @@
 
   /**
    * @param opts - clock, options of the Node.js server, the handler, which may
-   * return before the response has ended, and a predicate for auxiliary
-   * requests, whose continued arrival does not delay a drain
+   * return before the response has ended, a predicate for auxiliary requests,
+   * whose continued arrival does not delay a drain, and the budget of clients
+   * if there is one
    */
   constructor(opts: {
     clock: Clock;
@@ -57,6 +63,7 @@
       expectsContinue: boolean,
     ) => void;
     isAuxiliary: (req: IncomingMessage) => boolean;
+    clients?: { budget: ClientBudget; kind: ClientKind } | undefined;
   }) {
     this.#clock = opts.clock;
     this.#isAuxiliary = opts.isAuxiliary;
@@ -73,6 +80,14 @@
       "connection",
       (socket: Socket) => this.#trackConnection(socket),
     );
+    if (opts.clients === undefined) return;
+    const { budget, kind } = opts.clients;
+    this.clients = new ClientGate(this.#server, {
+      clock: opts.clock,
+      budget,
+      kind,
+      maxConnections: kind === "callers" ? budget.limits.connections : Infinity,
+    });
   }
 
   /**
--- a/src/links/peer_listener.ts
+++ b/src/links/peer_listener.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../base/clock.ts";
+import type { ClientBudget } from "../limits/client_budget.ts";
 import { DrainingServer } from "./draining_server.ts";
 import type { HopServer } from "./hop_server.ts";
 
@@ -16,13 +17,15 @@
   /**
    * @param opts - clock, the limits of callers' headers, the handler of `/rpc`,
    * the handler of `/hop/` if this process accepts requests of other routers,
-   * and the log
+   * the budget of clients, which limits their memory and never the number of
+   * connections of other VMs, and the log
    */
   constructor(opts: {
     clock: Clock;
     requests: { maxHeaderBytes: number; headersTimeoutMs: number };
     rpc: (req: IncomingMessage, res: ServerResponse) => void;
     hop: Pick<HopServer, "handle"> | undefined;
+    clients?: ClientBudget | undefined;
     logger: { error(fields: Record<string, unknown>, message: string): void };
   }) {
     this.#server = new DrainingServer({
@@ -53,6 +56,7 @@
       },
       // Routers keep calling a coordinator until it has deregistered.
       isAuxiliary: (req) => req.url === "/rpc",
+      clients: opts.clients && { budget: opts.clients, kind: "others" },
     });
   }
 
--- a/tests/support/client_crowd.ts
+++ b/tests/support/client_crowd.ts
@@ -61,8 +61,7 @@
     socket.once("close", () => {
       this.#sockets.delete(socket);
       if (reconnect === true) {
-        this.#later(RECONNECT_DELAY_MS, () =>
-          this.#open());
+        this.#later(RECONNECT_DELAY_MS, () => this.#open());
       }
     });
     socket.once("connect", () => {
--- a/tests/support/platform_router.ts
+++ b/tests/support/platform_router.ts
@@ -55,6 +55,12 @@
         changeBoundMs: 2500,
         maxHoldMs: 10_000,
         bodyMemoryBytes: 1024 * 1024,
+        clients: {
+          memoryBytes: 16 * 1024 * 1024,
+          connections: 1000,
+          headerLines: 4096,
+          unreadTimeoutMs: 10_000,
+        },
         cores: undefined,
       },
       clock: systemClock,
