--- a/tests/platform/http_headers_test.ts
+++ b/tests/platform/http_headers_test.ts
@@ -48,6 +48,30 @@
     assert.equal(headers["x-own"], "1");
   });
 
+  // Guards against own headers that a Node.js upstream drops, because it keeps
+  // only the first 2,000 lines.
+  it("puts its own headers ahead of the client's, without the client's copies", () => {
+    const headers = httpHeaders.upstreamHeaders(
+      {
+        ...call,
+        headers: {
+          "x-own": "1",
+          "fescuerun-expected-instance": "i-9",
+          "fescuerun-request-deadline": ["1", "2"],
+        },
+      },
+      "i-1",
+      812,
+    );
+    assert.deepEqual(Object.entries(headers), [
+      ["fescuerun-request-id", "r1"],
+      ["fescuerun-request-deadline", "812"],
+      ["fescuerun-expected-instance", "i-1"],
+      ["fescuerun-shard-key", "7"],
+      ["x-own", "1"],
+    ]);
+  });
+
   const answers: [string, number, Record<string, string>, object][] = [
     ["a signed response with its load", 200, {
       "fescuerun-request-id": "r1",
