fix(upstreams): take no response from a status outside 100 to 599

An upstream's status of 600 to 999 counted as a response: it was delivered, or, with a header that says so, taken as proof that the request had not run; a grant or release counted as refused, and a peer's answer was used. HTTP defines no such status, so the attempt now counts as lost (the request may have run), the order as unanswered, and the peer's answer as malformed. 000, 099 and abc already did.

Health responses needed no change: only status 200 is used.

--- a/src/links/hop_exchange.ts
+++ b/src/links/hop_exchange.ts
@@ -1,3 +1,4 @@
+import { isHttpStatus } from "../base/is_http_status.ts";
 import { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
 import type { Refusal } from "../base/refusal.ts";
@@ -110,6 +111,10 @@
     status: number,
   ): void {
     this.#lastReceivedAt = this.#now();
+    if (!isHttpStatus(status)) {
+      controller.abort(new Error(`unexpected answer with status ${status}`));
+      return;
+    }
     if (status < 200) return;
     const raw = decodeRawHeaders(controller.rawHeaders);
     const headers = new Map<string, string>();
--- a/src/upstreams/upstream_exchange.ts
+++ b/src/upstreams/upstream_exchange.ts
@@ -1,5 +1,6 @@
 import { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
+import { isHttpStatus } from "../base/is_http_status.ts";
 import type { DispatchRequest } from "./dispatch_request.ts";
 import type { UpstreamConnection } from "./upstream_connection.ts";
 
@@ -102,7 +103,12 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (status < FIRST_FINAL_STATUS || this.#ended) return;
+    if (this.#ended) return;
+    if (!isHttpStatus(status)) {
+      this.abort(new Error(`the answer has the invalid status ${status}`));
+      return;
+    }
+    if (status < FIRST_FINAL_STATUS) return;
     const body = new Readable({
       read: () => controller.resume(),
       destroy: (err, callback) => {
--- a/src/vms/http_peer_client.ts
+++ b/src/vms/http_peer_client.ts
@@ -3,6 +3,7 @@
 import { Pool } from "undici";
 import type { z } from "zod";
 import type { Clock } from "../base/clock.ts";
+import { isHttpStatus } from "../base/is_http_status.ts";
 import { untilAborted } from "../base/until_aborted.ts";
 import { HOP_HEADER } from "../links/hop_header.ts";
 import type { PeerClient } from "./peer_client.ts";
@@ -143,7 +144,7 @@
         message: `request exceeds ${MAX_MESSAGE_BYTES} bytes`,
       });
     }
-    const { body } = await this.#pool(peerUrl).request({
+    const { body, statusCode } = await this.#pool(peerUrl).request({
       path: "/rpc",
       method: "POST",
       headers: {
@@ -154,6 +155,12 @@
       signal,
     });
     const answer = await readText(body);
+    if (!isHttpStatus(statusCode)) {
+      throw new CallFailure({
+        kind: "malformed",
+        message: `answer has the invalid status ${statusCode}`,
+      });
+    }
     let message: unknown;
     try {
       message = JSON.parse(answer);
--- a/tests/direct/attempt_test.ts
+++ b/tests/direct/attempt_test.ts
@@ -76,6 +76,18 @@
       socket.end(`${HEAD}Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n`),
     kind: "lost",
   },
+  // Guards against statuses that HTTP does not have, of which a caller cannot
+  // know what they mean, and which count as proof that nothing has run.
+  ...["000", "099", "600", "999", "abc"].flatMap((status) =>
+    ["", "Fescuerun-Not-Executed: 1\r\n"].map((line) => ({
+      name: `status ${status}${line === "" ? "" : ", not executed"}`,
+      write: (socket: Socket) =>
+        socket.write(
+          `${HEAD.replace("200", status)}${line}Content-Length: 4\r\n\r\nbody`,
+        ),
+      kind: "lost",
+    }))
+  ),
   {
     name: "bytes that are not HTTP",
     write: (socket) => socket.write("\u0001\u0002rubbish\r\n\r\n"),
--- a/tests/links/hop_client_test.ts
+++ b/tests/links/hop_client_test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
+import { HOP_HEADER } from "../../src/links/hop_header.ts";
 import { HopClient } from "../../src/links/hop_client.ts";
 import { HopExchange } from "../../src/links/hop_exchange.ts";
 import type { DispatchOutcome } from "../../src/upstreams/dispatch_outcome.ts";
@@ -129,6 +130,18 @@
         }))),
       ["queue_full", "not_run"],
     ],
+    // Guards against statuses that HTTP does not have.
+    ...["000", "099", "600", "999", "abc"].map((
+      status,
+    ): typeof cases[number] => [
+      `status ${status}`,
+      (s) =>
+        s.end(
+          `HTTP/1.1 ${status} X\r\n${HOP_HEADER.waitMs}: 0\r\n` +
+            "Content-Length: 0\r\n\r\n",
+        ),
+      unknown,
+    ]),
     ["a refusal that is not JSON", (s) => s.write(refusal("{")), unknown],
     [
       "a refusal without an outcome",
--- a/tests/platform/grant_client_test.ts
+++ b/tests/platform/grant_client_test.ts
@@ -53,6 +53,27 @@
     raw.close();
   });
 
+  // Guards against a status that HTTP does not have and that counts as a
+  // refusal, after which the keys would be given to another upstream.
+  for (const status of ["000", "099", "600", "999", "abc"]) {
+    it(`takes status ${status} for no answer to an order`, async () => {
+      const raw = await new RawUpstream((socket) =>
+        socket.write(ACCEPTED.replace("200", status))
+      ).listen();
+      const end = new AbortController();
+      const client = new GrantClient(systemClock, end.signal);
+      const timeout = () => AbortSignal.timeout(ORDER_TIMEOUT_MS);
+      assert.equal(
+        await client.grant(order(raw.port), timeout()),
+        "unanswered",
+      );
+      const released = await client.release(order(raw.port), timeout());
+      assert.deepEqual(released, { kind: "unanswered" });
+      end.abort();
+      raw.close();
+    });
+  }
+
   // Guards against a grant that reaches an upstream which has restarted, where
   // the leader relies on the tokens that the upstream has received.
   it("sends to the same process only while a connection to it is open", async () => {
