--- a/src/direct/direct_settings.ts
+++ b/src/direct/direct_settings.ts
@@ -1,3 +1,4 @@
+import type { ClientLimits } from "../limits/client_limits.ts";
 import type { QuotaBound } from "../limits/quota_bound.ts";
 
 /** Settings of a VM that sends requests directly to upstreams. */
@@ -32,6 +33,8 @@
   maxHoldMs: number;
   /** Memory for the bodies of all requests, in bytes. */
   bodyMemoryBytes: number;
+  /** What clients may hold. */
+  clients: ClientLimits;
   /** Processor cores of the VM; undefined if it is not known. */
   cores: number | undefined;
 };
--- a/tests/platform/http_headers_test.ts
+++ b/tests/platform/http_headers_test.ts
@@ -57,6 +57,8 @@
     const headers = {
       "7": "x",
       "fescuerun-request-id": "own",
+      "fescuerun-expected-instance": "i-9",
+      "fescuerun-request-deadline": ["1", "2"],
       "fescuerun-tenant-id": "own",
       "fescuerun-credential": "key",
     };
