feat(config_check): check a configuration before it is sent

Operators asked for a check of errors, entries that can never match, limits that contradict each other, and what differs from the version in force.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -1,4 +1,5 @@
 import { Command } from "commander";
+import { addCheckConfiguration } from "../../platform/add_check_configuration.ts";
 import { addServeOnPlatform } from "../../platform/add_serve_on_platform.ts";
 import { addAssignmentShow } from "./add_assignment_show.ts";
 import { addAudit } from "./add_audit.ts";
@@ -50,6 +51,7 @@
 
   addServe(program, cli);
   addServeOnPlatform(program, cli);
+  addCheckConfiguration(program, cli);
 
   const config = program.command("config").description("settings files");
   addConfigCheck(config, cli);
