--- a/src/balance/zone_balance.ts
+++ b/src/balance/domain_balance.ts
@@ -2,9 +2,9 @@
 import type { Logger } from "../base/logger.ts";
 import type { DirectMetrics } from "../direct/direct_metrics.ts";
 import type { FleetView } from "../direct/fleet_view.ts";
-import { LocalZoneLoads } from "./local_zone_loads.ts";
-import { ZoneBalancer } from "./zone_balancer.ts";
-import { ZoneLoadExchange } from "./zone_load_exchange.ts";
+import { LocalDomainLoads } from "./local_domain_loads.ts";
+import { DomainBalancer } from "./domain_balancer.ts";
+import { DomainLoadExchange } from "./domain_load_exchange.ts";
 
 type Options = {
   location: { vm: string; failureDomain: string; region: string };
@@ -20,11 +20,11 @@
  * Balances load between failure domains on one VM: measures its part of the
  * loads, exchanges them with other VMs and plans what leaves its domain.
  */
-export class ZoneBalance {
-  readonly exchange: ZoneLoadExchange;
-  readonly balancer: ZoneBalancer;
+export class DomainBalance {
+  readonly exchange: DomainLoadExchange;
+  readonly balancer: DomainBalancer;
   readonly #opts: Options;
-  readonly #local: LocalZoneLoads;
+  readonly #local: LocalDomainLoads;
 
   /**
    * @param opts - location of this VM, and its view of the deployment
@@ -32,25 +32,25 @@
   constructor(opts: Options) {
     this.#opts = opts;
     const { location, view, clock, logger, metrics } = opts;
-    this.#local = new LocalZoneLoads(view, location.failureDomain);
-    this.exchange = new ZoneLoadExchange({
+    this.#local = new LocalDomainLoads(view, location.failureDomain);
+    this.exchange = new DomainLoadExchange({
       vm: location.vm,
       region: location.region,
-      regionOf: (zone) => view.regionOf(zone),
+      regionOf: (domain) => view.regionOf(domain),
       localLoads: (now) => this.#local.loads(now),
       clock,
     });
-    this.balancer = new ZoneBalancer({
+    this.balancer = new DomainBalancer({
       view,
       location,
       figures: (...args) => this.exchange.figures(...args),
       workMs: opts.workMs,
       onPlanned: ({ service, pressure, share }) => {
-        metrics.zonePressure.set({ service }, pressure);
-        metrics.zoneLeaveShare.set({ service }, share);
+        metrics.domainPressure.set({ service }, pressure);
+        metrics.domainLeaveShare.set({ service }, share);
       },
       onChanged: (change) =>
-        logger.info(change, "share of requests that leave the zone changed"),
+        logger.info(change, "share of requests that leave the domain changed"),
     });
   }
 
@@ -72,9 +72,9 @@
   onSent(service: string, domain: string): void {
     const { location, view, metrics } = this.#opts;
     const distance = domain === location.failureDomain
-      ? "own_zone"
+      ? "own_domain"
       : view.regionOf(domain) === location.region
-      ? "other_zone"
+      ? "other_domain"
       : "other_region";
     metrics.attemptDistances.inc({ service, distance });
   }
--- a/src/balance/zone_balancer.ts
+++ b/src/balance/domain_balancer.ts
@@ -2,10 +2,10 @@
 import type { Upstream } from "../direct/upstream.ts";
 import { rendezvousScore } from "../base/rendezvous_score.ts";
 import { isBalancedDomain } from "./is_balanced_domain.ts";
-import { zoneCapacities } from "./zone_capacities.ts";
-import type { ZoneLoad } from "./zone_load.ts";
-import type { ZonePlan } from "./zone_plan.ts";
-import { zoneDemand } from "./zone_demand.ts";
+import { domainCapacities } from "./domain_capacities.ts";
+import type { DomainLoad } from "./domain_load.ts";
+import type { DomainPlan } from "./domain_plan.ts";
+import { domainDemand } from "./domain_demand.ts";
 import { LeaveShares } from "./leave_shares.ts";
 
 type Options = {
@@ -13,12 +13,12 @@
   location: { vm: string; failureDomain: string; region: string };
   figures: (
     service: string,
-    zone: string,
+    domain: string,
     now: number,
-  ) => ZoneLoad | undefined;
+  ) => DomainLoad | undefined;
   /** @returns mean run time of requests to a service, in milliseconds */
   workMs: (service: string) => number;
-  /** Called with each plan: pressure of the own zone, and what should leave. */
+  /** Called with each plan: pressure of the own domain, and what should leave. */
   onPlanned: (
     planned: { service: string; pressure: number; share: number },
   ) => void;
@@ -27,7 +27,7 @@
     change: { service: string; before: number; after: number },
   ) => void;
 };
-type Kept = { plan: ZonePlan | undefined; until: number };
+type Kept = { plan: DomainPlan | undefined; until: number };
 
 /** Upstreams and figures change little within this time. */
 const PLAN_LIFETIME_MS = 100;
@@ -36,7 +36,7 @@
  * Plans, for each service, what share of the requests may leave this VM's
  * failure domain, from the loads that the VMs share.
  */
-export class ZoneBalancer {
+export class DomainBalancer {
   readonly #opts: Options;
   readonly #kept = new Map<string, Kept>();
   readonly #shares = new Map<string, LeaveShares>();
@@ -55,7 +55,7 @@
    * @returns the plan; undefined if the service is not balanced in this VM's
    * failure domain or its load is not known
    */
-  plan(service: string, now: number): ZonePlan | undefined {
+  plan(service: string, now: number): DomainPlan | undefined {
     const kept = this.#kept.get(service);
     if (kept !== undefined && now < kept.until) return kept.plan;
     const plan = this.#makePlan(service, now);
@@ -63,7 +63,7 @@
     return plan;
   }
 
-  readonly #prefer: ZonePlan["prefer"] = (upstreams, count) => {
+  readonly #prefer: DomainPlan["prefer"] = (upstreams, count) => {
     if (upstreams.length <= count) return upstreams;
     // The least score of the preferred, without sorting all upstreams.
     const best: number[] = [];
@@ -90,32 +90,32 @@
     return score;
   }
 
-  #makePlan(service: string, now: number): ZonePlan | undefined {
+  #makePlan(service: string, now: number): DomainPlan | undefined {
     const { view, location, figures, workMs, onPlanned, onChanged } =
       this.#opts;
-    const capacities = zoneCapacities(view, service).get(service) ??
+    const capacities = domainCapacities(view, service).get(service) ??
       new Map<string, { upstreams: number; slots: number }>();
     const own = capacities.get(location.failureDomain);
     if (own === undefined || !isBalancedDomain(own)) {
       this.#drop(service);
       return undefined;
     }
-    const zones: ZonePlan["zones"] = new Map();
-    for (const [zone, { slots }] of capacities) {
-      const found = figures(service, zone, now);
-      const otherRegion = view.regionOf(zone) !== location.region;
+    const domains: DomainPlan["domains"] = new Map();
+    for (const [domain, { slots }] of capacities) {
+      const found = figures(service, domain, now);
+      const otherRegion = view.regionOf(domain) !== location.region;
       if (found === undefined && !otherRegion) {
         this.#drop(service);
         return undefined;
       }
       // Without figures, another region is judged by the VM's own samples, and
       // no share is planned for it.
-      zones.set(zone, {
+      domains.set(domain, {
         slots,
         pressure: found === undefined ? 0 : found.inFlight / slots,
         demand: found === undefined
           ? Infinity
-          : zoneDemand(found, { slots, workMs: workMs(service) }),
+          : domainDemand(found, { slots, workMs: workMs(service) }),
         share: 0,
         otherRegion,
       });
@@ -123,15 +123,15 @@
     const shares = this.#shares.get(service) ?? new LeaveShares();
     this.#shares.set(service, shares);
     const before = shares.announced;
-    shares.update(location.failureDomain, zones, now);
+    shares.update(location.failureDomain, domains, now);
     onPlanned({
       service,
-      pressure: zones.get(location.failureDomain)?.pressure ?? 0,
+      pressure: domains.get(location.failureDomain)?.pressure ?? 0,
       share: shares.total,
     });
     const after = shares.announced;
     if (before !== after) onChanged({ service, before, after });
-    return { zones, prefer: this.#prefer };
+    return { domains, prefer: this.#prefer };
   }
 
   #drop(service: string): void {
--- a/src/balance/zone_capacities.ts
+++ b/src/balance/domain_capacities.ts
@@ -9,7 +9,7 @@
  * @returns number and slots of the usable upstreams, by service and failure
  * domain; keyed services are left out, as the owners of their keys are fixed
  */
-export function zoneCapacities(
+export function domainCapacities(
   view: View,
   service?: string,
 ): Map<string, Map<string, Capacity>> {
@@ -18,15 +18,15 @@
     const { entry } = upstream;
     if (service !== undefined && entry.service !== service) continue;
     if (!view.isUsable(upstream)) continue;
-    let zones = services.get(entry.service);
-    if (zones === undefined) {
+    let domains = services.get(entry.service);
+    if (domains === undefined) {
       if (view.policy(entry.service)?.keyed !== false) continue;
-      zones = new Map();
-      services.set(entry.service, zones);
+      domains = new Map();
+      services.set(entry.service, domains);
     }
-    const capacity = zones.get(entry.failureDomain);
+    const capacity = domains.get(entry.failureDomain);
     if (capacity === undefined) {
-      zones.set(entry.failureDomain, { upstreams: 1, slots: entry.slots });
+      domains.set(entry.failureDomain, { upstreams: 1, slots: entry.slots });
     } else {
       capacity.upstreams++;
       capacity.slots += entry.slots;
--- a/src/balance/zone_load_exchange.ts
+++ b/src/balance/domain_load_exchange.ts
@@ -1,21 +1,21 @@
 import type { z } from "zod";
 import type { Clock } from "../base/clock.ts";
-import { packZoneLoads } from "./pack_zone_loads.ts";
-import type { PackedZoneLoads } from "./packed_zone_loads.ts";
-import { unpackZoneLoads } from "./unpack_zone_loads.ts";
-import type { ZoneLoad } from "./zone_load.ts";
-import type { ZoneLoadMessage } from "./zone_load_message.ts";
-import { ZoneLoadSums } from "./zone_load_sums.ts";
+import { packDomainLoads } from "./pack_domain_loads.ts";
+import type { PackedDomainLoads } from "./packed_domain_loads.ts";
+import { unpackDomainLoads } from "./unpack_domain_loads.ts";
+import type { DomainLoad } from "./domain_load.ts";
+import type { DomainLoadMessage } from "./domain_load_message.ts";
+import { DomainLoadSums } from "./domain_load_sums.ts";
 
-type FromVm = z.infer<typeof ZoneLoadMessage.fromVm>;
-type FromRelay = z.infer<typeof ZoneLoadMessage.fromRelay>;
+type FromVm = z.infer<typeof DomainLoadMessage.fromVm>;
+type FromRelay = z.infer<typeof DomainLoadMessage.fromRelay>;
 type Options = {
   vm: string;
   /** Region of this VM. */
   region: string;
-  regionOf: (zone: string) => string;
+  regionOf: (domain: string) => string;
   /** @returns this VM's part of the loads; undefined if none are needed */
-  localLoads: (now: number) => ZoneLoad[] | undefined;
+  localLoads: (now: number) => DomainLoad[] | undefined;
   clock: Clock;
 };
 /** VMs query their relay every 500 ms; one lost query changes nothing. */
@@ -43,15 +43,15 @@
  * leader; the answers carry the sums back. All of it is part of messages that
  * are sent anyway.
  */
-export class ZoneLoadExchange {
+export class DomainLoadExchange {
   readonly #opts: Options;
   /** On a relay: the VMs of its region. */
-  readonly #vms = new ZoneLoadSums(VM_MAX_AGE_MS, VM_SETTLE_MS);
+  readonly #vms = new DomainLoadSums(VM_MAX_AGE_MS, VM_SETTLE_MS);
   /** On the leader: the regions. */
-  readonly #regions = new ZoneLoadSums(REGION_MAX_AGE_MS, REGION_SETTLE_MS);
+  readonly #regions = new DomainLoadSums(REGION_MAX_AGE_MS, REGION_SETTLE_MS);
   /** On a relay: what the VMs of other regions add. */
-  #others: { loads: readonly ZoneLoad[]; at: number } | undefined;
-  readonly #figures = new Map<string, ZoneLoad>();
+  #others: { loads: readonly DomainLoad[]; at: number } | undefined;
+  readonly #figures = new Map<string, DomainLoad>();
   #queries = 0;
   #queriedAt = Number.NEGATIVE_INFINITY;
   #answeredAt = Number.NEGATIVE_INFINITY;
@@ -77,7 +77,7 @@
     this.#queriedAt = now;
     const far = this.#queries % QUERIES_PER_FAR_QUERY === 0;
     this.#queries++;
-    const own = packZoneLoads(loads);
+    const own = packDomainLoads(loads);
     return far ? { vm, own, far } : { vm, own };
   }
 
@@ -90,21 +90,21 @@
   onQuery(query: FromVm | undefined): FromRelay | undefined {
     if (query === undefined) return undefined;
     const now = this.#opts.clock.now();
-    this.#vms.set(query.vm, unpackZoneLoads(query.own), now);
+    this.#vms.set(query.vm, unpackDomainLoads(query.own), now);
     const own = this.#vms.sums(now);
     if (own === undefined) return undefined;
     const { regionOf, region } = this.#opts;
     const others = this.#othersAt(now);
     const all = addUp(own, others ?? []);
-    const near = packZoneLoads(
-      all.filter(({ zone }) => regionOf(zone) === region),
+    const near = packDomainLoads(
+      all.filter(({ domain }) => regionOf(domain) === region),
     );
     // Without the leader's sums, other regions would seem to be idle.
     return query.far === true && others !== undefined
       ? {
         near,
-        far: packZoneLoads(
-          all.filter(({ zone }) => regionOf(zone) !== region),
+        far: packDomainLoads(
+          all.filter(({ domain }) => regionOf(domain) !== region),
         ),
       }
       : { near };
@@ -119,15 +119,15 @@
   onAnswer(answer: FromRelay | undefined, sentAt: number): void {
     if (answer === undefined) return;
     const { regionOf, region } = this.#opts;
-    const isNear = (zone: string) => regionOf(zone) === region;
+    const isNear = (domain: string) => regionOf(domain) === region;
     for (const key of this.#figures.keys()) {
-      const zone = key.slice(key.indexOf("\n") + 1);
-      if (isNear(zone) || answer.far !== undefined) this.#figures.delete(key);
+      const domain = key.slice(key.indexOf("\n") + 1);
+      if (isNear(domain) || answer.far !== undefined) this.#figures.delete(key);
     }
     for (const packed of [answer.near, answer.far]) {
       if (packed === undefined) continue;
-      for (const load of unpackZoneLoads(packed)) {
-        this.#figures.set(`${load.service}\n${load.zone}`, load);
+      for (const load of unpackDomainLoads(packed)) {
+        this.#figures.set(`${load.service}\n${load.domain}`, load);
       }
     }
     this.#answeredAt = sentAt;
@@ -142,9 +142,9 @@
   /**
    * @returns on a relay, the sums over its region for the report to the leader
    */
-  regionLoads(): PackedZoneLoads | undefined {
+  regionLoads(): PackedDomainLoads | undefined {
     const sums = this.#vms.sums(this.#opts.clock.now());
-    return sums === undefined ? undefined : packZoneLoads(sums);
+    return sums === undefined ? undefined : packDomainLoads(sums);
   }
 
   /**
@@ -156,13 +156,13 @@
    */
   onRegionLoads(
     region: string,
-    loads: PackedZoneLoads | undefined,
-  ): PackedZoneLoads | undefined {
+    loads: PackedDomainLoads | undefined,
+  ): PackedDomainLoads | undefined {
     if (loads === undefined) return undefined;
     const now = this.#opts.clock.now();
-    this.#regions.set(region, unpackZoneLoads(loads), now);
+    this.#regions.set(region, unpackDomainLoads(loads), now);
     const sums = this.#regions.sums(now, region);
-    return sums === undefined ? undefined : packZoneLoads(sums);
+    return sums === undefined ? undefined : packDomainLoads(sums);
   }
 
   /**
@@ -170,34 +170,34 @@
    *
    * @param loads - the sums over the other regions
    */
-  onOtherRegions(loads: PackedZoneLoads | undefined): void {
+  onOtherRegions(loads: PackedDomainLoads | undefined): void {
     if (loads === undefined) return;
     this.#others = {
-      loads: unpackZoneLoads(loads),
+      loads: unpackDomainLoads(loads),
       at: this.#opts.clock.now(),
     };
   }
 
   /**
    * @param service - name of a service
-   * @param zone - a failure domain
+   * @param domain - a failure domain
    * @param now - monotonic milliseconds
    * @returns its load over all VMs; undefined if it is not known
    */
   figures(
     service: string,
-    zone: string,
+    domain: string,
     now: number,
-  ): ZoneLoad | undefined {
+  ): DomainLoad | undefined {
     const { regionOf, region } = this.#opts;
-    const near = regionOf(zone) === region;
+    const near = regionOf(domain) === region;
     const at = near ? this.#answeredAt : this.#farAnsweredAt;
     if (now - at > (near ? NEAR_MAX_AGE_MS : FAR_MAX_AGE_MS)) return undefined;
-    return this.#figures.get(`${service}\n${zone}`) ??
-      { service, zone, inFlight: 0, workPerS: 0 };
+    return this.#figures.get(`${service}\n${domain}`) ??
+      { service, domain, inFlight: 0, workPerS: 0 };
   }
 
-  #othersAt(now: number): readonly ZoneLoad[] | undefined {
+  #othersAt(now: number): readonly DomainLoad[] | undefined {
     const others = this.#others;
     return others === undefined || now - others.at > REGION_MAX_AGE_MS
       ? undefined
@@ -206,10 +206,10 @@
 }
 
 function addUp(
-  own: readonly ZoneLoad[],
-  others: readonly ZoneLoad[],
-): ZoneLoad[] {
-  const sums = new ZoneLoadSums(Infinity, 0);
+  own: readonly DomainLoad[],
+  others: readonly DomainLoad[],
+): DomainLoad[] {
+  const sums = new DomainLoadSums(Infinity, 0);
   sums.set("own", own, 0);
   sums.set("others", others, 0);
   return sums.sums(0) ?? [];
--- a/src/balance/zone_load_sums.ts
+++ b/src/balance/domain_load_sums.ts
@@ -1,14 +1,14 @@
-import type { ZoneLoad } from "./zone_load.ts";
+import type { DomainLoad } from "./domain_load.ts";
 
-type Part = { loads: readonly ZoneLoad[]; at: number };
-type Sum = { load: ZoneLoad; parts: number };
+type Part = { loads: readonly DomainLoad[]; at: number };
+type Sum = { load: DomainLoad; parts: number };
 
 /**
  * Sums of loads over reporters, e.g. the VMs of a region. A report replaces the
  * reporter's earlier one; the cost of a report does not depend on the number of
  * reporters.
  */
-export class ZoneLoadSums {
+export class DomainLoadSums {
   readonly #maxAgeMs: number;
   readonly #settleMs: number;
   /** Oldest report first. */
@@ -31,7 +31,7 @@
    * @param loads - its part of the loads
    * @param now - monotonic milliseconds
    */
-  set(reporter: string, loads: readonly ZoneLoad[], now: number): void {
+  set(reporter: string, loads: readonly DomainLoad[], now: number): void {
     this.#removeOld(now);
     this.#since ??= now;
     this.#remove(reporter);
@@ -45,7 +45,7 @@
    * @returns the sums by service and failure domain; undefined while they are
    * not complete
    */
-  sums(now: number, except?: string): ZoneLoad[] | undefined {
+  sums(now: number, except?: string): DomainLoad[] | undefined {
     this.#removeOld(now);
     if (this.#since === undefined || now - this.#since < this.#settleMs) {
       return undefined;
@@ -81,7 +81,7 @@
     }
   }
 
-  #add(load: ZoneLoad): void {
+  #add(load: DomainLoad): void {
     const sum = this.#sums.get(keyOf(load));
     if (sum === undefined) {
       this.#sums.set(keyOf(load), { load: { ...load }, parts: 1 });
@@ -92,12 +92,12 @@
   }
 }
 
-function keyOf({ service, zone }: ZoneLoad): string {
-  return `${service}\n${zone}`;
+function keyOf({ service, domain }: DomainLoad): string {
+  return `${service}\n${domain}`;
 }
 
 /** The clamp is for the rounding errors of sums from which parts were taken. */
-function addTo(sum: ZoneLoad, part: ZoneLoad, sign: 1 | -1): void {
+function addTo(sum: DomainLoad, part: DomainLoad, sign: 1 | -1): void {
   sum.inFlight = Math.max(0, sum.inFlight + sign * part.inFlight);
   sum.workPerS += sign * part.workPerS;
 }
--- a/src/balance/local_zone_loads.ts
+++ b/src/balance/local_domain_loads.ts
@@ -1,8 +1,8 @@
 import type { FleetView } from "../direct/fleet_view.ts";
 import { ArrivalRate } from "./arrival_rate.ts";
 import { isBalancedDomain } from "./is_balanced_domain.ts";
-import { zoneCapacities } from "./zone_capacities.ts";
-import type { ZoneLoad } from "./zone_load.ts";
+import { domainCapacities } from "./domain_capacities.ts";
+import type { DomainLoad } from "./domain_load.ts";
 
 type Arrivals = { mean: ArrivalRate; recent: ArrivalRate };
 
@@ -22,18 +22,18 @@
  * Measures what this VM adds to the load of services and failure domains: the
  * arrivals in its own domain and its requests in flight in each domain.
  */
-export class LocalZoneLoads {
+export class LocalDomainLoads {
   readonly #view: FleetView;
-  readonly #zone: string;
+  readonly #domain: string;
   readonly #arrivals = new Map<string, Arrivals>();
 
   /**
    * @param view - services and upstreams
-   * @param zone - failure domain of this VM
+   * @param domain - failure domain of this VM
    */
-  constructor(view: FleetView, zone: string) {
+  constructor(view: FleetView, domain: string) {
     this.#view = view;
-    this.#zone = zone;
+    this.#domain = domain;
   }
 
   /**
@@ -60,14 +60,14 @@
    * @returns this VM's part of the loads, without those that are zero;
    * undefined if no service is balanced
    */
-  loads(now: number): ZoneLoad[] | undefined {
+  loads(now: number): DomainLoad[] | undefined {
     const balanced = this.#balancedServices();
     if (balanced.size === 0) return undefined;
-    const found = new Map<string, ZoneLoad>();
-    const loadOf = (service: string, zone: string): ZoneLoad => {
-      const key = `${service}\n${zone}`;
+    const found = new Map<string, DomainLoad>();
+    const loadOf = (service: string, domain: string): DomainLoad => {
+      const key = `${service}\n${domain}`;
       const load = found.get(key) ??
-        { service, zone, inFlight: 0, workPerS: 0 };
+        { service, domain, inFlight: 0, workPerS: 0 };
       found.set(key, load);
       return load;
     };
@@ -77,10 +77,10 @@
       else if (balanced.has(service)) {
         const recentPerS = recent.perS(now);
         const perS = recentPerS + TREND_WEIGHT * (recentPerS - meanPerS);
-        loadOf(service, this.#zone).workPerS = perS;
+        loadOf(service, this.#domain).workPerS = perS;
       }
     }
-    // Sums of the slowdowns of the own zone's upstreams, by service.
+    // Sums of the slowdowns of the own domain's upstreams, by service.
     const slowdowns = new Map<string, { sum: number; upstreams: number }>();
     for (const { entry, load } of this.#view.upstreams) {
       const { service, failureDomain } = entry;
@@ -88,7 +88,7 @@
       if (load.inFlight > 0) {
         loadOf(service, failureDomain).inFlight += load.inFlight;
       }
-      if (failureDomain !== this.#zone) continue;
+      if (failureDomain !== this.#domain) continue;
       const { sum, upstreams } = slowdowns.get(service) ??
         { sum: 0, upstreams: 0 };
       slowdowns.set(service, {
@@ -97,7 +97,7 @@
       });
     }
     for (const [service, { sum, upstreams }] of slowdowns) {
-      const load = found.get(`${service}\n${this.#zone}`);
+      const load = found.get(`${service}\n${this.#domain}`);
       if (load !== undefined) load.workPerS *= sum / upstreams;
     }
     return [...found.values()].slice(0, MAX_LOADS);
@@ -106,8 +106,8 @@
   /** Services that are balanced in some failure domain. */
   #balancedServices(): Set<string> {
     const services = new Set<string>();
-    for (const [service, zones] of zoneCapacities(this.#view)) {
-      if ([...zones.values()].some(isBalancedDomain)) services.add(service);
+    for (const [service, domains] of domainCapacities(this.#view)) {
+      if ([...domains.values()].some(isBalancedDomain)) services.add(service);
     }
     return services;
   }
--- a/src/balance/packed_zone_loads.ts
+++ b/src/balance/packed_domain_loads.ts
@@ -10,10 +10,10 @@
  * Loads as they are sent: without repeated names, since they are sent twice a
  * second.
  */
-export const PackedZoneLoads = z.object({
-  zones: z.array(Name).max(MAX_ITEMS),
+export const PackedDomainLoads = z.object({
+  domains: z.array(Name).max(MAX_ITEMS),
   /**
-   * By service, for each zone with load: index of the zone, requests in flight,
+   * By service, for each domain with load: index of the domain, requests in flight,
    * and arriving work per second, absent if 0.
    */
   loads: z.record(
@@ -26,4 +26,4 @@
     ).max(MAX_ITEMS),
   ),
 });
-export type PackedZoneLoads = z.infer<typeof PackedZoneLoads>;
+export type PackedDomainLoads = z.infer<typeof PackedDomainLoads>;
--- a/src/balance/pick_balanced.ts
+++ b/src/balance/pick_balanced.ts
@@ -1,12 +1,12 @@
 import type { RatedUpstream } from "../direct/rated_upstream.ts";
 import type { Upstream } from "../direct/upstream.ts";
-import type { ZonePlan } from "./zone_plan.ts";
+import type { DomainPlan } from "./domain_plan.ts";
 
 type Request = {
-  plan: ZonePlan;
+  plan: DomainPlan;
   /** Failure domain of this VM. */
-  zone: string;
-  /** Upstreams that may get the request, in all zones that may serve it. */
+  domain: string;
+  /** Upstreams that may get the request, in all domains that may serve it. */
   upstreams: readonly Upstream[];
   /** Number of VMs of the system. */
   vms: number;
@@ -19,7 +19,7 @@
   rate: (upstream: Upstream) => RatedUpstream;
 };
 
-/** As in `preferredUpstreams`, but the number is that of one zone. */
+/** As in `preferredUpstreams`, but the number is that of one domain. */
 const VMS_PER_UPSTREAM = 8;
 const MIN_PREFERRED = 6;
 /** Costs that differ by less count as equal; one is chosen at random. */
@@ -31,9 +31,9 @@
 const STAY_FRACTION = 0.45;
 /**
  * Advantage, as a fraction of the objective, for which other requests leave
- * their zone, in addition to what the cost contains. Requests that belong to
+ * their domain, in addition to what the cost contains. Requests that belong to
  * the share that should leave do so as well if it costs them a little, so that
- * the queue of an overloaded zone ends. Fractions were chosen with the model in
+ * the queue of an overloaded domain ends. Fractions were chosen with the model in
  * `tests/balance`; see `docs/design/load-balancing.md`.
  */
 const MARGIN_FRACTION = 0.2;
@@ -43,38 +43,38 @@
 const REGION_SHARE_MARGIN_FRACTION = 0.05;
 
 /**
- * Picks an upstream in the VM's own zone unless another zone is expected to
+ * Picks an upstream in the VM's own domain unless another domain is expected to
  * answer earlier by a margin, which depends on the shares of the plan.
  *
  * @param request - the request, the plan of its service and the upstreams
- * @returns the upstream; undefined if the own zone has none for the request
+ * @returns the upstream; undefined if the own domain has none for the request
  */
 export function pickBalanced(request: Request): RatedUpstream | undefined {
-  const { plan, zone, upstreams } = request;
-  const byZone = new Map<string, Upstream[]>();
+  const { plan, domain, upstreams } = request;
+  const byDomain = new Map<string, Upstream[]>();
   for (const upstream of upstreams) {
     const { failureDomain } = upstream.entry;
-    const list = byZone.get(failureDomain);
-    if (list === undefined) byZone.set(failureDomain, [upstream]);
+    const list = byDomain.get(failureDomain);
+    if (list === undefined) byDomain.set(failureDomain, [upstream]);
     else list.push(upstream);
   }
-  const home = byZone.get(zone);
+  const home = byDomain.get(domain);
   if (home === undefined) return undefined;
   const limitMs = Math.min(request.objectiveMs, request.remainingMs);
-  const best = pickInZone(request, home);
+  const best = pickInDomain(request, home);
   if (best.expectedMs <= STAY_FRACTION * limitMs) return best;
   let picked = best;
   let minCostMs = best.costMs;
-  for (const [other, list] of byZone) {
-    const figures = plan.zones.get(other);
-    if (other === zone || figures === undefined) continue;
+  for (const [other, list] of byDomain) {
+    const figures = plan.domains.get(other);
+    if (other === domain || figures === undefined) continue;
     // The VM's own estimates of upstreams that it seldom uses are old. The
     // shared figures tell of a queue that they miss.
     const queuedMs = Math.max(0, figures.pressure - 1) * request.workMs;
     const leastMs = queuedMs + request.workMs;
     if (leastMs >= best.costMs) continue;
-    const rated = pickInZone(request, list);
-    // Only the other zone is expected to meet the objective.
+    const rated = pickInDomain(request, list);
+    // Only the other domain is expected to meet the objective.
     const rescues = !figures.otherRegion && best.expectedMs > limitMs &&
       Math.max(rated.expectedMs, leastMs) <= limitMs;
     const marginMs = rescues ? 0 : limitMs * marginFraction(figures);
@@ -97,18 +97,18 @@
 }
 
 /**
- * Picks the cheapest of the upstreams that the VM prefers in a zone. It prefers
+ * Picks the cheapest of the upstreams that the VM prefers in a domain. It prefers
  * few, so that it knows their load from recent answers.
  */
-function pickInZone(
+function pickInDomain(
   { plan, vms, upstreams, rate }: Request,
-  zoneUpstreams: readonly Upstream[],
+  domainUpstreams: readonly Upstream[],
 ): RatedUpstream {
   const size = Math.max(
     MIN_PREFERRED,
     Math.ceil(VMS_PER_UPSTREAM * upstreams.length / vms),
   );
-  const preferred = plan.prefer(zoneUpstreams, size);
+  const preferred = plan.prefer(domainUpstreams, size);
   let minCostMs = Infinity;
   const rated = preferred.map((upstream) => {
     const found = rate(upstream);
--- a/src/direct/choose_upstream.ts
+++ b/src/direct/choose_upstream.ts
@@ -1,5 +1,5 @@
 import { pickBalanced } from "../balance/pick_balanced.ts";
-import type { ZoneBalancer } from "../balance/zone_balancer.ts";
+import type { DomainBalancer } from "../balance/domain_balancer.ts";
 import type { Choice } from "./choice.ts";
 import { connectionLimit } from "./connection_limit.ts";
 import type { FleetView } from "./fleet_view.ts";
@@ -28,7 +28,7 @@
   /** Monotonic milliseconds. */
   now: number;
   /** Shared loads of the failure domains; without it, none are used. */
-  balancer?: Pick<ZoneBalancer, "plan"> | undefined;
+  balancer?: Pick<DomainBalancer, "plan"> | undefined;
 };
 
 /** Round-trip times, from the deployments' data sheets. */
@@ -230,7 +230,7 @@
       workMs: query.workMs,
       remainingMs: query.remainingMs,
       plan,
-      zone: location.failureDomain,
+      domain: location.failureDomain,
       upstreams,
       vms: view.vms,
       objectiveMs: route.objectiveMs,
--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
-import { ZoneBalance } from "../balance/zone_balance.ts";
+import { DomainBalance } from "../balance/domain_balance.ts";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
 import { runTask } from "../base/run_task.ts";
@@ -188,7 +188,7 @@
     const work = new WorkTimes();
     const workMs = (service: string) =>
       work.meanOfService(service, view.config);
-    const balance = new ZoneBalance({ ...opts, location: cfg, view, workMs });
+    const balance = new DomainBalance({ ...opts, location: cfg, view, workMs });
     this.#relay = new TableRelay({
       loads: balance.exchange,
       followers: [
--- a/src/direct/direct_metrics.ts
+++ b/src/direct/direct_metrics.ts
@@ -46,15 +46,15 @@
     registers: [this.registry],
   });
   /** Load of the VM's own failure domain, as the VMs share it. */
-  readonly zonePressure = new Gauge({
-    name: "fescuerun_zone_requests_per_slot",
+  readonly domainPressure = new Gauge({
+    name: "fescuerun_domain_requests_per_slot",
     help: "Requests in flight per slot in the VM's own failure domain.",
     labelNames: ["service"] as const,
     registers: [this.registry],
   });
   /** What should leave the VM's own failure domain. */
-  readonly zoneLeaveShare = new Gauge({
-    name: "fescuerun_zone_leave_share",
+  readonly domainLeaveShare = new Gauge({
+    name: "fescuerun_domain_leave_share",
     help: "Share of requests that should leave the VM's failure domain.",
     labelNames: ["service"] as const,
     registers: [this.registry],
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../base/clock.ts";
-import type { ZoneBalance } from "../balance/zone_balance.ts";
+import type { DomainBalance } from "../balance/domain_balance.ts";
 import type { Logger } from "../base/logger.ts";
 import type { RefusalCode } from "../base/refusal_code.ts";
 import type { FleetRetryBudget } from "../limits/fleet_retry_budget.ts";
@@ -31,7 +31,7 @@
   metrics: DirectMetrics;
   location: { vm: string; failureDomain: string; region: string };
   /** Loads of failure domains; without it, they are not balanced. */
-  balance?: ZoneBalance;
+  balance?: DomainBalance;
   /**
    * Called for each request with a key for a keyed service.
    *
--- a/src/direct/upstream_sender.ts
+++ b/src/direct/upstream_sender.ts
@@ -1,4 +1,4 @@
-import type { ZoneBalance } from "../balance/zone_balance.ts";
+import type { DomainBalance } from "../balance/domain_balance.ts";
 import type { Clock } from "../base/clock.ts";
 import { ByteBudget } from "../limits/byte_budget.ts";
 import { attempt } from "./attempt.ts";
@@ -18,7 +18,7 @@
   protocol: WireProtocol;
   clock: Clock;
   metrics: DirectMetrics;
-  balance?: ZoneBalance;
+  balance?: DomainBalance;
 };
 
 /** Room for three answers of the largest size. */
--- a/src/ranges/key_report.ts
+++ b/src/ranges/key_report.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { ZoneLoadMessage } from "../balance/zone_load_message.ts";
+import { DomainLoadMessage } from "../balance/domain_load_message.ts";
 
 /** Report of a VM to the leader, and the leader's response. */
 export const KeyReport = {
@@ -28,7 +28,7 @@
     /** Whether the store answered the VM's last calls. */
     canRelay: z.boolean().default(true),
     /** Of a relay: loads of its region. Malformed loads count as absent. */
-    loads: ZoneLoadMessage.ofRegions.optional().catch(undefined),
+    loads: DomainLoadMessage.ofRegions.optional().catch(undefined),
     /** Processor cores of the VM. */
     cores: z.number().positive().optional(),
   }),
@@ -42,6 +42,6 @@
     /** Peer URL of the relay of the reporter's region. */
     relayUrl: z.string().optional(),
     /** To a relay: loads of all other regions. */
-    loads: ZoneLoadMessage.ofRegions.optional().catch(undefined),
+    loads: DomainLoadMessage.ofRegions.optional().catch(undefined),
   }),
 };
--- a/src/ranges/range_controller.ts
+++ b/src/ranges/range_controller.ts
@@ -1,6 +1,6 @@
 import { setMaxListeners } from "node:events";
 import type { z } from "zod";
-import type { ZoneLoadExchange } from "../balance/zone_load_exchange.ts";
+import type { DomainLoadExchange } from "../balance/domain_load_exchange.ts";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
 import { runTask } from "../base/run_task.ts";
@@ -38,7 +38,7 @@
   /** This VM's source of store changes, and whether it can relay them. */
   relay: Pick<TableRelay, "setRelay" | "canRelay">;
   /** Loads that are exchanged with the reports. */
-  loads?: ZoneLoadExchange;
+  loads?: DomainLoadExchange;
   /** @returns mean service time of requests to a service, in milliseconds */
   workMs: (service: string) => number;
   clock: Clock;
--- a/src/rows/changes_query.ts
+++ b/src/rows/changes_query.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { ZoneLoadMessage } from "../balance/zone_load_message.ts";
+import { DomainLoadMessage } from "../balance/domain_load_message.ts";
 import { TableChanges } from "./table_changes.ts";
 
 /** Query of a VM to the relay of its region for changes of the store. */
@@ -16,12 +16,12 @@
     /** Era of the store to which these versions belong, by table; 0 if absent. */
     eras: z.record(z.string(), z.number()).optional(),
     /** Loads that the VM measured. Malformed loads count as absent. */
-    loads: ZoneLoadMessage.fromVm.optional().catch(undefined),
+    loads: DomainLoadMessage.fromVm.optional().catch(undefined),
   }),
   result: z.object({
     /** Changes by table, for the tables that the called VM can relay. */
     changes: z.record(z.string(), TableChanges),
     /** Loads over all VMs. */
-    loads: ZoneLoadMessage.fromRelay.optional().catch(undefined),
+    loads: DomainLoadMessage.fromRelay.optional().catch(undefined),
   }),
 };
--- a/src/rows/table_relay.ts
+++ b/src/rows/table_relay.ts
@@ -1,6 +1,6 @@
 import type { z } from "zod";
 import { ChangeNotifier } from "../base/change_notifier.ts";
-import type { ZoneLoadExchange } from "../balance/zone_load_exchange.ts";
+import type { DomainLoadExchange } from "../balance/domain_load_exchange.ts";
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
 import type { RpcHandler } from "../links/rpc_handler.ts";
@@ -18,7 +18,7 @@
   selfUrl: string;
   peers: PeerClient;
   /** Loads that are exchanged with the queries. */
-  loads?: ZoneLoadExchange;
+  loads?: DomainLoadExchange;
   clock: Clock;
   logger: Logger;
   signal: AbortSignal;
--- a/tests/balance/zone_load_exchange_test.ts
+++ b/tests/balance/domain_load_exchange_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { ZoneLoad } from "../../src/balance/zone_load.ts";
-import { ZoneLoadExchange } from "../../src/balance/zone_load_exchange.ts";
+import type { DomainLoad } from "../../src/balance/domain_load.ts";
+import { DomainLoadExchange } from "../../src/balance/domain_load_exchange.ts";
 import { KeyReport } from "../../src/ranges/key_report.ts";
 import { ChangesQuery } from "../../src/rows/changes_query.ts";
 import { ManualClock } from "../support/manual_clock.ts";
@@ -9,19 +9,19 @@
 
 /** Three VMs; vm-1 is the relay of region a and the leader, vm-3 relays b. */
 function createVms(clock: ManualClock) {
-  const create = (vm: string, region: string, loads: ZoneLoad[]) =>
-    new ZoneLoadExchange({
+  const create = (vm: string, region: string, loads: DomainLoad[]) =>
+    new DomainLoadExchange({
       vm,
       region,
-      regionOf: (zone) => zone.slice(0, 1),
+      regionOf: (domain) => domain.slice(0, 1),
       localLoads: () => loads,
       clock,
     });
   const load = (
-    zone: string,
+    domain: string,
     inFlight: number,
     workPerS: number,
-  ) => ({ service: "s", zone, inFlight, workPerS });
+  ) => ({ service: "s", domain, inFlight, workPerS });
   const relay = create("vm-1", "a", [load("a1", 3, 10)]);
   const vm = create("vm-2", "a", [load("a1", 2, 5), load("a2", 1, 0)]);
   const far = create("vm-3", "b", [load("a1", 4, 0), load("b1", 6, 7)]);
@@ -45,7 +45,7 @@
   }
 }
 
-describe("ZoneLoadExchange", () => {
+describe("DomainLoadExchange", () => {
   it("adds up the loads of all VMs, also of other regions", async () => {
     const clock = new ManualClock();
     const { vm, far, exchange } = createVms(clock);
@@ -53,7 +53,7 @@
     const now = clock.now();
     assert.deepEqual(vm.figures("s", "a1", now), {
       service: "s",
-      zone: "a1",
+      domain: "a1",
       inFlight: 9,
       workPerS: 15,
     });
@@ -61,7 +61,7 @@
     assert.equal(far.figures("s", "a1", now)?.inFlight, 9);
   });
 
-  // Guards against sums that lack most VMs, on which all would rush to a zone
+  // Guards against sums that lack most VMs, on which all would rush to a domain
   // that only seems to be idle.
   it("gives no figures until the VMs of a new relay have reported", async () => {
     const clock = new ManualClock();
@@ -118,7 +118,7 @@
     const answer = {
       keeper: true,
       vms: 3,
-      loads: { zones: ["a1"], loads: { s: [[0, -1, 0]] } },
+      loads: { domains: ["a1"], loads: { s: [[0, -1, 0]] } },
     };
     assert.equal(KeyReport.result.parse(answer).vms, 3);
   });
--- a/tests/balance/zone_load_model_test.ts
+++ b/tests/balance/domain_load_model_test.ts
@@ -1,20 +1,20 @@
 import assert from "node:assert/strict";
 import { describe, it, type TestContext } from "node:test";
-import { ZoneLoadModel } from "../support/zone_load_model.ts";
+import { DomainLoadModel } from "../support/domain_load_model.ts";
 
-type Result = ReturnType<ZoneLoadModel["run"]>;
+type Result = ReturnType<DomainLoadModel["run"]>;
 
 const SEEDS = [11, 12, 13, 14, 15];
-const ARMS = ["today", "two random", "zones"] as const;
+const ARMS = ["today", "two random", "domains"] as const;
 const WAVE = 0.55;
-/** `ZONE_LOAD_CASES=all` runs the cases of the design note. */
-const CASES = process.env.ZONE_LOAD_CASES === "all"
+/** `DOMAIN_LOAD_CASES=all` runs the cases of the design note. */
+const CASES = process.env.DOMAIN_LOAD_CASES === "all"
   ? [0, WAVE].flatMap((amplitude) =>
     [0.5, 0.7, 0.85, 0.95].map((load) => ({ load, amplitude }))
   )
   : [{ load: 0.7, amplitude: WAVE }];
 /**
- * Points of requests in time that the choice by zones may lose against today's.
+ * Points of requests in time that the choice by domains may lose against today's.
  * Five seeds differ by about one point.
  */
 const MAX_LOSS = 1;
@@ -34,58 +34,58 @@
 }
 
 function print(t: TestContext, label: string, result: Result): void {
-  const { inTime, late, refused, leftZone, leftRegion } = result;
+  const { inTime, late, refused, leftDomain, leftRegion } = result;
   const figures = Object.entries({
     inTime,
     late,
     refused,
-    leftZone,
+    leftDomain,
     leftRegion,
   }).map(([name, count]) => `${name} ${percent(count, result).toFixed(1)}%`);
   t.diagnostic(`${label}: ${figures.join(", ")}`);
 }
 
-describe("choice by zones in a model of zones, upstreams and VMs", () => {
+describe("choice by domains in a model of domains, upstreams and VMs", () => {
   // Guards against traffic that is saved at the cost of late answers.
   for (const { load, amplitude } of CASES) {
     it(`load ${load}, waves of amplitude ${amplitude}`, (t) => {
-      const [today, , zones] = ARMS.map((arm) => {
+      const [today, , domains] = ARMS.map((arm) => {
         const result = sumOf(
           SEEDS.map((seed) =>
-            new ZoneLoadModel({ seed, arm, load, amplitude }).run()
+            new DomainLoadModel({ seed, arm, load, amplitude }).run()
           ),
         );
         print(t, arm, result);
         return result;
       });
       const lost = percent(today!.inTime, today!) -
-        percent(zones!.inTime, zones!);
+        percent(domains!.inTime, domains!);
       assert.ok(lost <= MAX_LOSS, `${lost} points fewer in time`);
-      const left = zones!.leftZone / today!.leftZone;
-      assert.ok(left < 0.7, `${left} times as many requests left the zone`);
+      const left = domains!.leftDomain / today!.leftDomain;
+      assert.ok(left < 0.7, `${left} times as many requests left the domain`);
     });
   }
 
   it("never leaves the regions that the route allows", () => {
-    const result = new ZoneLoadModel({
+    const result = new DomainLoadModel({
       seed: 11,
-      arm: "zones",
+      arm: "domains",
       load: 0.95,
       amplitude: WAVE,
       homeRegions: ["a"],
       durationMs: 5000,
     }).run();
-    assert.ok(result.leftZone > 0, "no request left its zone");
+    assert.ok(result.leftDomain > 0, "no request left its domain");
     assert.equal(result.homesLeft, 0);
   });
 
-  // The first zone is busiest at 3.2 s and 16.2 s, and least at 9.7 s and 22.7 s.
+  // The first domain is busiest at 3.2 s and 16.2 s, and least at 9.7 s and 22.7 s.
   for (const seed of SEEDS) {
     it(`follows a wave, and returns everything after it, seed ${seed}`, () => {
       const shares: { now: number; share: number }[] = [];
-      new ZoneLoadModel({
+      new DomainLoadModel({
         seed,
-        arm: "zones",
+        arm: "domains",
         load: 0.7,
         amplitude: WAVE,
         durationMs: 26_000,
@@ -112,8 +112,8 @@
 
   // Guards against old shares that stay in use.
   it("chooses as today once messages are lost", () => {
-    const run = (arm: "today" | "zones") =>
-      new ZoneLoadModel({
+    const run = (arm: "today" | "domains") =>
+      new DomainLoadModel({
         seed: 13,
         arm,
         load: 0.7,
@@ -121,6 +121,6 @@
         durationMs: 5000,
         lossFrom: 0,
       }).run();
-    assert.deepEqual(run("zones"), run("today"));
+    assert.deepEqual(run("domains"), run("today"));
   });
 });
--- a/tests/balance/leave_shares_test.ts
+++ b/tests/balance/leave_shares_test.ts
@@ -1,52 +1,54 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { LeaveShares } from "../../src/balance/leave_shares.ts";
-import type { ZonePlan } from "../../src/balance/zone_plan.ts";
+import type { DomainPlan } from "../../src/balance/domain_plan.ts";
 
 const UPDATE_MS = 100;
 const WAVE_MS = 13_000;
 
-/** Zones with 100 slots and these demands. */
-function zonesWith(
+/** Domains with 100 slots and these demands. */
+function domainsWith(
   demands: Record<string, number>,
-): ZonePlan["zones"] {
+): DomainPlan["domains"] {
   return new Map(
-    Object.entries(demands).map(([zone, pressure]) => [zone, {
+    Object.entries(demands).map(([domain, pressure]) => [domain, {
       slots: 100,
       pressure,
       demand: pressure,
       share: 0,
-      otherRegion: zone.startsWith("b"),
+      otherRegion: domain.startsWith("b"),
     }]),
   );
 }
 
 describe("LeaveShares", () => {
-  // Guards against traffic between zones that no zone needs.
+  // Guards against traffic between domains that no domain needs.
   it("keeps all requests below the demand at which leaving starts", () => {
     const shares = new LeaveShares();
     for (let update = 0; update < 50; update++) {
-      shares.update("a1", zonesWith({ a1: 0.89, a2: 0.1 }), 100 * update);
+      shares.update("a1", domainsWith({ a1: 0.89, a2: 0.1 }), 100 * update);
     }
     assert.equal(shares.total, 0);
   });
 
-  it("answers a wave within 300 ms and fills the other zone's free slots", () => {
+  it("answers a wave within 300 ms and fills the other domain's free slots", () => {
     const shares = new LeaveShares();
-    const zones = zonesWith({ a1: 1.5, a2: 0.3 });
-    for (let ms = 0; ms < 300; ms += UPDATE_MS) shares.update("a1", zones, ms);
-    const share = zones.get("a2")?.share ?? 0;
+    const domains = domainsWith({ a1: 1.5, a2: 0.3 });
+    for (let ms = 0; ms < 300; ms += UPDATE_MS) {
+      shares.update("a1", domains, ms);
+    }
+    const share = domains.get("a2")?.share ?? 0;
     // 65 of 150 requests exceed the target; 55 slots are free.
     assert.ok(share > 0.3 && share <= 0.4, `share is ${share}`);
   });
 
-  it("sends nothing to a zone that is as loaded", () => {
+  it("sends nothing to a domain that is as loaded", () => {
     const shares = new LeaveShares();
-    shares.update("a1", zonesWith({ a1: 1.5, a2: 1.4 }), 0);
+    shares.update("a1", domainsWith({ a1: 1.5, a2: 1.4 }), 0);
     assert.equal(shares.total, 0);
   });
 
-  it("plans for another region only when the own zone queues much", () => {
+  it("plans for another region only when the own domain queues much", () => {
     for (
       const { pressure, leaves } of [
         { pressure: 1.3, leaves: false },
@@ -54,9 +56,9 @@
       ]
     ) {
       const shares = new LeaveShares();
-      const zones = zonesWith({ a1: pressure, b1: 0.2 });
-      shares.update("a1", zones, 0);
-      assert.equal((zones.get("b1")?.share ?? 0) > 0, leaves);
+      const domains = domainsWith({ a1: pressure, b1: 0.2 });
+      shares.update("a1", domains, 0);
+      assert.equal((domains.get("b1")?.share ?? 0) > 0, leaves);
     }
   });
 
@@ -72,7 +74,7 @@
       const noise = ms / UPDATE_MS % 2 === 0 ? 0.04 : -0.04;
       const a1 = 0.7 * (1 + 0.55 * wave) + noise;
       const a2 = 0.7 * (1 - 0.55 * wave) - noise;
-      shares.update("a1", zonesWith({ a1, a2 }), ms);
+      shares.update("a1", domainsWith({ a1, a2 }), ms);
       const { total } = shares;
       if ((total === 0) !== (before === 0)) changes++;
       before = total;
@@ -81,7 +83,7 @@
     for (let ms = 0; ms < 3000; ms += UPDATE_MS) {
       shares.update(
         "a1",
-        zonesWith({ a1: 0.5, a2: 0.5 }),
+        domainsWith({ a1: 0.5, a2: 0.5 }),
         3 * WAVE_MS + ms,
       );
     }
--- a/tests/support/create_zone_load_vm.ts
+++ b/tests/support/create_domain_load_vm.ts
@@ -1,6 +1,6 @@
-import { LocalZoneLoads } from "../../src/balance/local_zone_loads.ts";
-import { ZoneBalancer } from "../../src/balance/zone_balancer.ts";
-import { ZoneLoadExchange } from "../../src/balance/zone_load_exchange.ts";
+import { LocalDomainLoads } from "../../src/balance/local_domain_loads.ts";
+import { DomainBalancer } from "../../src/balance/domain_balancer.ts";
+import { DomainLoadExchange } from "../../src/balance/domain_load_exchange.ts";
 import type { Clock } from "../../src/base/clock.ts";
 import { FleetView } from "../../src/direct/fleet_view.ts";
 import type { Route } from "../../src/direct/route.ts";
@@ -8,21 +8,21 @@
 
 type Setup = {
   name: string;
-  zone: string;
+  domain: string;
   regionOf: ReadonlyMap<string, string>;
   /** Number of VMs of the system. */
   vms: number;
   route: Route;
-  upstreams: readonly { id: string; zone: string }[];
+  upstreams: readonly { id: string; domain: string }[];
   slots: number;
   workMs: number;
   clock: Clock;
 };
 
-/** Creates a VM of the model of zones, with the service `s1`. */
-export function createZoneLoadVm(setup: Setup) {
-  const { name, zone, regionOf, clock } = setup;
-  const region = regionOf.get(zone)!;
+/** Creates a VM of the model of domains, with the service `s1`. */
+export function createDomainLoadVm(setup: Setup) {
+  const { name, domain, regionOf, clock } = setup;
+  const region = regionOf.get(domain)!;
   const view = new FleetView({
     clock,
     logger: silentLogger(),
@@ -48,7 +48,7 @@
       idleTimeoutMs: 1,
     },
   });
-  for (const { id, zone: failureDomain } of setup.upstreams) {
+  for (const { id, domain: failureDomain } of setup.upstreams) {
     view.setUpstream({
       id,
       incarnation: 1,
@@ -60,21 +60,21 @@
       warmUpMs: 0,
     });
   }
-  const local = new LocalZoneLoads(view, zone);
-  const exchange = new ZoneLoadExchange({
+  const local = new LocalDomainLoads(view, domain);
+  const exchange = new DomainLoadExchange({
     vm: name,
     region,
     regionOf: (other) => regionOf.get(other)!,
     localLoads: (now) => local.loads(now),
     clock,
   });
-  const balancer = new ZoneBalancer({
+  const balancer = new DomainBalancer({
     view,
-    location: { vm: name, failureDomain: zone, region },
+    location: { vm: name, failureDomain: domain, region },
     figures: (...args) => exchange.figures(...args),
     workMs: () => setup.workMs,
     onPlanned: () => undefined,
     onChanged: () => undefined,
   });
-  return { zone, region, name, view, local, exchange, balancer };
+  return { domain, region, name, view, local, exchange, balancer };
 }
--- a/tests/support/zone_load_model.ts
+++ b/tests/support/domain_load_model.ts
@@ -2,13 +2,13 @@
 import type { LoadReport } from "../../src/direct/load_report.ts";
 import type { Route } from "../../src/direct/route.ts";
 import type { Upstream } from "../../src/direct/upstream.ts";
-import { createZoneLoadVm } from "./create_zone_load_vm.ts";
+import { createDomainLoadVm } from "./create_domain_load_vm.ts";
 import { EventQueue } from "./event_queue.ts";
 import { ManualClock } from "./manual_clock.ts";
 import { RandomFaults } from "./random_faults.ts";
 
 /** How VMs choose upstreams. */
-type Arm = "today" | "two random" | "zones";
+type Arm = "today" | "two random" | "domains";
 type ModelCase = {
   seed: number;
   arm: Arm;
@@ -22,9 +22,9 @@
   lossFrom?: number;
   /** Longest time that is simulated, in milliseconds. */
   durationMs?: number;
-  /** Demand of each zone relative to the mean, in the order of `ZONES`. */
+  /** Demand of each domain relative to the mean, in the order of `DOMAINS`. */
   skew?: readonly number[];
-  /** Called every 100 ms with the shares that leave the first zone. */
+  /** Called every 100 ms with the shares that leave the first domain. */
   onShare?: (now: number, share: number) => void;
 };
 type ModelResult = {
@@ -32,15 +32,15 @@
   inTime: number;
   late: number;
   refused: number;
-  leftZone: number;
+  leftDomain: number;
   leftRegion: number;
   /** Requests that went to a region that their route does not allow. */
   homesLeft: number;
 };
-type Vm = ReturnType<typeof createZoneLoadVm>;
+type Vm = ReturnType<typeof createDomainLoadVm>;
 type SimulatedUpstream = {
   id: string;
-  zone: string;
+  domain: string;
   region: string;
   speed: number;
   slowUntil: number;
@@ -48,19 +48,21 @@
   queue: (() => void)[];
 };
 
-const ZONES = ["a1", "a2", "b1", "b2"];
-const REGION_OF = new Map(ZONES.map((zone) => [zone, zone.slice(0, 1)]));
-const UPSTREAMS_PER_ZONE = 12;
+const DOMAINS = ["a1", "a2", "b1", "b2"];
+const REGION_OF = new Map(
+  DOMAINS.map((domain) => [domain, domain.slice(0, 1)]),
+);
+const UPSTREAMS_PER_DOMAIN = 12;
 const SLOTS = 4;
 const QUEUE = 16;
-const VMS_PER_ZONE = 5;
+const VMS_PER_DOMAIN = 5;
 const WORK_MS = 200;
 const WAVE_PERIOD_MS = 13_000;
 const DURATION_MS = 15_000;
 /** Upstreams and estimates start empty; earlier requests are not counted. */
 const WARM_UP_MS = 2000;
-const ZONE_RTT_MS = 0.5;
-const OTHER_ZONE_RTT_MS = 2;
+const DOMAIN_RTT_MS = 0.5;
+const OTHER_DOMAIN_RTT_MS = 2;
 const OTHER_REGION_RTT_MS = 42;
 const QUERY_INTERVAL_MS = 500;
 const REPORT_INTERVAL_MS = 700;
@@ -81,10 +83,10 @@
 };
 
 /**
- * Simulates zones, upstreams and VMs with partial knowledge. Choices are made by
+ * Simulates domains, upstreams and VMs with partial knowledge. Choices are made by
  * the code that runs in production; there is no network.
  */
-export class ZoneLoadModel {
+export class DomainLoadModel {
   readonly #case: ModelCase;
   readonly #clock = new ManualClock();
   /** Arrivals, run times and slowdowns: the same for each arm. */
@@ -98,7 +100,7 @@
     inTime: 0,
     late: 0,
     refused: 0,
-    leftZone: 0,
+    leftDomain: 0,
     leftRegion: 0,
     homesLeft: 0,
   };
@@ -106,13 +108,13 @@
   constructor(modelCase: ModelCase) {
     this.#case = modelCase;
     this.#world = new RandomFaults(modelCase.seed);
-    for (const zone of ZONES) {
-      for (let index = 0; index < UPSTREAMS_PER_ZONE; index++) {
-        const id = `${zone}-${index}`;
+    for (const domain of DOMAINS) {
+      for (let index = 0; index < UPSTREAMS_PER_DOMAIN; index++) {
+        const id = `${domain}-${index}`;
         this.#upstreams.set(id, {
           id,
-          zone,
-          region: REGION_OF.get(zone)!,
+          domain,
+          region: REGION_OF.get(domain)!,
           speed: 0.5 + this.#world.next(),
           slowUntil: 0,
           running: 0,
@@ -120,13 +122,13 @@
         });
       }
     }
-    for (const zone of ZONES) {
-      for (let index = 0; index < VMS_PER_ZONE; index++) {
-        this.#vms.push(createZoneLoadVm({
-          name: `vm-${zone}-${index}`,
-          zone,
+    for (const domain of DOMAINS) {
+      for (let index = 0; index < VMS_PER_DOMAIN; index++) {
+        this.#vms.push(createDomainLoadVm({
+          name: `vm-${domain}-${index}`,
+          domain,
           regionOf: REGION_OF,
-          vms: ZONES.length * VMS_PER_ZONE,
+          vms: DOMAINS.length * VMS_PER_DOMAIN,
           route: ROUTE,
           upstreams: [...this.#upstreams.values()],
           slots: SLOTS,
@@ -170,11 +172,13 @@
   }
 
   #start(): void {
-    for (const [index, zone] of ZONES.entries()) this.#arrive(zone, index, 0);
+    for (const [index, domain] of DOMAINS.entries()) {
+      this.#arrive(domain, index, 0);
+    }
     for (const upstream of this.#upstreams.values()) {
       this.#at(this.#world.next() * SLOW_PERIOD_MS, () => this.#slow(upstream));
     }
-    if (this.#case.arm !== "zones") return;
+    if (this.#case.arm !== "domains") return;
     for (const [index, vm] of this.#vms.entries()) {
       this.#at(
         QUERY_INTERVAL_MS * index / this.#vms.length,
@@ -190,22 +194,22 @@
     const [vm] = this.#vms;
     if (onShare === undefined || vm === undefined) return;
     const plan = vm.balancer.plan("s1", this.#now);
-    const shares = [...plan?.zones.values() ?? []].map(({ share }) => share);
+    const shares = [...plan?.domains.values() ?? []].map(({ share }) => share);
     onShare(this.#now, shares.reduce((sum, share) => sum + share, 0));
     this.#at(this.#now + 100, () => this.#observe());
   }
 
-  /** Draws the next arrival in a zone by thinning, and the request's run time. */
-  #arrive(zone: string, index: number, at: number): void {
+  /** Draws the next arrival in a domain by thinning, and the request's run time. */
+  #arrive(domain: string, index: number, at: number): void {
     const { load, amplitude, skew } = this.#case;
-    const meanPerMs = load * this.#capacityPerMs / ZONES.length *
+    const meanPerMs = load * this.#capacityPerMs / DOMAINS.length *
       (skew?.[index] ?? 1);
     const maxPerMs = meanPerMs * (1 + amplitude);
     let next = at;
     for (;;) {
       next -= Math.log(1 - this.#world.next()) / maxPerMs;
       const phase = 2 * Math.PI *
-        (next / WAVE_PERIOD_MS + index / ZONES.length);
+        (next / WAVE_PERIOD_MS + index / DOMAINS.length);
       const perMs = meanPerMs * (1 + amplitude * Math.sin(phase));
       if (this.#world.next() * maxPerMs < perMs) break;
     }
@@ -213,10 +217,10 @@
     const workMs = -WORK_MS / 2 *
       Math.log((1 - this.#world.next()) * (1 - this.#world.next()));
     const vm = this.#vms[
-      index * VMS_PER_ZONE + Math.floor(this.#world.next() * VMS_PER_ZONE)
+      index * VMS_PER_DOMAIN + Math.floor(this.#world.next() * VMS_PER_DOMAIN)
     ]!;
     this.#at(next, () => {
-      this.#arrive(zone, index, next);
+      this.#arrive(domain, index, next);
       this.#serve(vm, workMs);
     });
   }
@@ -233,16 +237,16 @@
       return;
     }
     const upstream = this.#upstreams.get(chosen.entry.id)!;
-    if (upstream.zone !== vm.zone) result.leftZone++;
+    if (upstream.domain !== vm.domain) result.leftDomain++;
     if (upstream.region !== vm.region) result.leftRegion++;
     const { homeRegions = [] } = this.#case;
     if (homeRegions.length > 0 && !homeRegions.includes(upstream.region)) {
       result.homesLeft++;
     }
-    const rttMs = upstream.zone === vm.zone
-      ? ZONE_RTT_MS
+    const rttMs = upstream.domain === vm.domain
+      ? DOMAIN_RTT_MS
       : upstream.region === vm.region
-      ? OTHER_ZONE_RTT_MS
+      ? OTHER_DOMAIN_RTT_MS
       : OTHER_REGION_RTT_MS;
     chosen.load.onSent();
     this.#at(at + rttMs / 2, () => {
@@ -294,11 +298,11 @@
       service: "s1",
       key: undefined,
       tried: new Set(),
-      location: { vm: vm.name, failureDomain: vm.zone, region: vm.region },
+      location: { vm: vm.name, failureDomain: vm.domain, region: vm.region },
       workMs: WORK_MS,
       remainingMs: ROUTE.timeoutMs,
       now: this.#now,
-      balancer: arm === "zones" ? vm.balancer : undefined,
+      balancer: arm === "domains" ? vm.balancer : undefined,
     });
     return choice.kind === "send" ? choice.upstream : undefined;
   }
--- a/tests/support/relay_rig.ts
+++ b/tests/support/relay_rig.ts
@@ -1,4 +1,4 @@
-import type { ZoneLoadExchange } from "../../src/balance/zone_load_exchange.ts";
+import type { DomainLoadExchange } from "../../src/balance/domain_load_exchange.ts";
 import { followTimesFor } from "../../src/rows/follow_times_for.ts";
 import type { RowStore } from "../../src/rows/row_store.ts";
 import { TableFollower } from "../../src/rows/table_follower.ts";
@@ -46,7 +46,7 @@
     this.#opts = opts;
   }
 
-  addVm(vm: string, loads?: ZoneLoadExchange): void {
+  addVm(vm: string, loads?: DomainLoadExchange): void {
     const { clock, end } = this;
     const { boundMs, batchMs } = this.#opts;
     const process = new PausableClock(clock, 0);
