fix(ranges): keep the leader from being a relay where there are tenants

Cause: leader and relay are both chosen by cores, so the leader was the relay of its region, and a loss of the leader alone lost the region's share holder.

Change: with tenants in the configuration, the leader is a relay only if no other VM of its region can be one.

--- a/src/ranges/range_controller.ts
+++ b/src/ranges/range_controller.ts
@@ -346,8 +346,20 @@
       keeper: isLeader,
       vms,
       intervalMs: this.#reportIntervalMs,
-      relayUrl: region === "" ? undefined : this.#relays.relayOf(region),
+      relayUrl: region === ""
+        ? undefined
+        : this.#relays.relayOf(region, this.#avoidedRelay()),
       loads: this.#opts.loads?.onRegionLoads(region, report.loads),
     };
   }
+
+  /**
+   * Returns the VM that should not be a relay. Relays hold the regions' shares of
+   * tenants' limits, and a new leader gives none for some seconds, so a region
+   * that loses the leader and its relay at once would serve no tenant.
+   */
+  #avoidedRelay(): string | undefined {
+    const { view, self } = this.#opts;
+    return view.config?.tenants === undefined ? undefined : self.vm;
+  }
 }
--- a/src/ranges/region_relays.ts
+++ b/src/ranges/region_relays.ts
@@ -47,16 +47,20 @@
 
   /**
    * @param region - a region
+   * @param avoidedVm - a VM that becomes a relay only if no other can
    * @returns peer URL of the region's relay, or undefined if no VM can relay
    */
-  relayOf(region: string): string | undefined {
-    const chosen = this.#reporters.get(this.#chosen.get(region) ?? "");
-    if (chosen?.region === region && chosen.canRelay) return chosen.peerUrl;
-    const [next] = [...this.#reporters.values()]
-      .filter((reporter) => reporter.region === region && reporter.canRelay)
-      .sort((a, b) =>
-        (b.cores ?? 0) - (a.cores ?? 0) || (a.vm < b.vm ? -1 : 1)
-      );
+  relayOf(region: string, avoidedVm?: string): string | undefined {
+    const candidates = [...this.#reporters.values()].filter((reporter) =>
+      reporter.region === region && reporter.canRelay
+    );
+    const preferred = candidates.filter(({ vm }) => vm !== avoidedVm);
+    const usable = preferred.length > 0 ? preferred : candidates;
+    const chosen = usable.find(({ vm }) => vm === this.#chosen.get(region));
+    if (chosen !== undefined) return chosen.peerUrl;
+    const [next] = usable.sort((a, b) =>
+      (b.cores ?? 0) - (a.cores ?? 0) || (a.vm < b.vm ? -1 : 1)
+    );
     if (next !== undefined) this.#chosen.set(region, next.vm);
     return next?.peerUrl;
   }
--- a/tests/ranges/region_relays_test.ts
+++ b/tests/ranges/region_relays_test.ts
@@ -56,6 +56,19 @@
     assert.equal(relays.relayOf("a"), "http://a-1");
   });
 
+  // The leader was the VM with most cores as well. Guards against a region that
+  // loses the leader and its relay, which holds the limits of tenants, at once.
+  it("chooses an avoided VM only if no other can relay", () => {
+    const relays = new RegionRelays();
+    relays.onReport({ ...reporter("a-1", "a"), cores: 2 }, 0);
+    assert.equal(relays.relayOf("a", "a-1"), "http://a-1");
+    relays.onReport({ ...reporter("a-2", "a"), cores: 1 }, 10);
+    assert.equal(relays.relayOf("a", "a-1"), "http://a-2");
+    assert.equal(relays.relayOf("a", "a-1"), "http://a-2");
+    relays.onReport({ ...reporter("a-2", "a"), canRelay: false }, 20);
+    assert.equal(relays.relayOf("a", "a-1"), "http://a-1");
+  });
+
   it("returns the relay's new address when it changes", () => {
     const relays = new RegionRelays();
     relays.onReport(reporter("a-1", "a"), 0);
