--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -40,7 +40,7 @@
     this.served.set(req.socket, id);
     this.answers++;
     if (TROUBLE && faulty === undefined && before !== undefined && this.answers > 40) {
-      faulty = this;
+      faulty = this.id;
       note(`${this.id}: late additional bytes after the complete answer to ${before}`);
       req.socket.write(EXTRA);
     }
