--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -11,6 +11,21 @@
 export const sleep = (ms) => new Promise((done) => setTimeout(done, ms));
 const startedAt = Date.now();
 const lines = [];
+/** Processes that the script has started and that have not ended. */
+const children = new Set();
+
+// A script that can't run ends with 2, and ends what it has started.
+process.on("exit", () => {
+  for (const child of children) child.kill("SIGKILL");
+});
+process.on("SIGTERM", () => process.exit(2));
+process.on("SIGINT", () => process.exit(2));
+for (const event of ["uncaughtException", "unhandledRejection"]) {
+  process.on(event, (err) => {
+    console.error(err);
+    process.exit(2);
+  });
+}
 
 /** Adds a line to record.txt, with seconds since the start of the script. */
 export function note(text) {
@@ -243,8 +258,12 @@
     child.stdout.on("data", (chunk) => this.log += chunk);
     child.stderr.on("data", (chunk) => this.log += chunk);
     this.#child = child;
+    children.add(child);
     this.exited = new Promise((done) =>
-      child.once("exit", (code, signal) => done({ code, signal })));
+      child.once("exit", (code, signal) => {
+        children.delete(child);
+        done({ code, signal });
+      }));
     return this;
   }
 
