--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -162,7 +162,7 @@
 }
 
 /** Settings of one machine, like those of a small deployment. */
-export function settings({ node, ports, storePort, extra = "" }) {
+export function settings({ node, ports, storePort, heartbeatInterval }) {
   const [clients, readiness, control, first, last] = ports;
   return `node = "${node}"
 role = "router"
@@ -176,7 +176,7 @@
 bootstrap = true
 discovery = "platform"
 entry = "virtual_ip"
-heartbeatInterval = "870ms"
+heartbeatInterval = "${heartbeatInterval}"
 contracts = ["base","drain","config","cost","retry","recover","own","places","platform"]
 grants = "request"
 [zones]
@@ -213,7 +213,7 @@
 form = "table"
 writesPerS = 400
 readsPerS = 2000
-${extra}`;
+`;
 }
 
 /** The run command of deploy/system.toml. */
@@ -229,12 +229,12 @@
   #child;
   exited;
 
-  constructor({ root, node, storePort, ports }) {
+  constructor({ root, node, storePort, ports, heartbeatInterval = "870ms" }) {
     this.root = root;
     this.node = node;
     this.ports = ports;
     this.file = join(this.#dir, "local.toml");
-    writeFileSync(this.file, settings({ node, ports, storePort }));
+    writeFileSync(this.file, settings({ node, ports, storePort, heartbeatInterval }));
   }
 
   get clientPort() {
