fix(direct): send a request again only on connections that have not carried it

Cause: the owner answers 421, as it has no grant yet, and the router sends the request again with the same id, on the connection that was used last. A second copy of the 421, late, is read as the answer to the second attempt, which is running; the third attempt then runs as well. The id names the request, not the attempt.

The connections of the attempts were not in the log; the step "sent on connection N" adds them.

A late copy then finds no later attempt of the request on its connection.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../base/clock.ts";
 import type { ByteBudget } from "../limits/byte_budget.ts";
 import { ConnectionRejected } from "../upstreams/connection_rejected.ts";
+import type { UpstreamConnection } from "../upstreams/upstream_connection.ts";
 import { UpstreamExchange } from "../upstreams/upstream_exchange.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallerCall } from "./caller_call.ts";
@@ -18,6 +19,18 @@
   deadlineAt: number;
   /** Maximum number of connections from this VM to the upstream. */
   maxConnections: number;
+  /**
+   * Connections on which the request has already been sent, which are not used
+   * again. An answer names the request, not the attempt, so a late copy of the
+   * answer to an earlier attempt would be taken for the answer to this one.
+   */
+  sentOn: ReadonlySet<UpstreamConnection>;
+  /**
+   * Called before the first byte is written.
+   *
+   * @param connection - the connection on which the request is sent
+   */
+  onSent: (connection: UpstreamConnection) => void;
   /** Memory for the long answers that are being read at the same time. */
   answerMemory: ByteBudget;
 };
@@ -47,7 +60,7 @@
   const { call, upstream, clock, deadlineAt, protocol } = options;
   const connection = upstream.connections.acquire(
     options.maxConnections,
-    options.idempotent,
+    options,
   );
   let sent = false;
   let reusable = true;
@@ -61,6 +74,7 @@
     ),
     beforeSend: () => {
       sent = true;
+      options.onSent(connection);
       return undefined;
     },
     onEnded: (err) => {
--- a/src/direct/call_state.ts
+++ b/src/direct/call_state.ts
@@ -1,3 +1,4 @@
+import type { UpstreamConnection } from "../upstreams/upstream_connection.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallerCall } from "./caller_call.ts";
 import type { Route } from "./route.ts";
@@ -18,6 +19,8 @@
   deadlineAt: number;
   /** Upstreams that are not chosen again for this request. */
   tried: Set<Upstream>;
+  /** Connections on which the request has been sent. */
+  sentOn: Set<UpstreamConnection>;
   /** Attempts started so far. */
   sends: number;
   /** Attempts that failed before anything was sent. */
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -260,6 +260,7 @@
       configAgeMs: this.#configAgeMs(),
       deadlineAt: call.receivedAt + limitMs,
       tried: new Set(),
+      sentOn: new Set(),
       sends: 0,
       unsentAttempts: 0,
       mayHaveRun: false,
--- a/src/direct/upstream_sender.ts
+++ b/src/direct/upstream_sender.ts
@@ -76,6 +76,11 @@
         policy ?? { maxConnections: 0 },
         view.vms,
       ),
+      sentOn: state.sentOn,
+      onSent: (connection) => {
+        state.sentOn.add(connection);
+        state.steps.push(`sent on connection ${connection.number}`);
+      },
       answerMemory: this.#answerMemory,
       // A non-idempotent request is not aborted when its caller disconnects,
       // since it would then be unknown whether the request has run.
--- a/src/upstreams/dispatcher.ts
+++ b/src/upstreams/dispatcher.ts
@@ -471,7 +471,7 @@
     this.#timer.set(req.deadlineAt);
     const connection = this.#connections.acquire(
       UpstreamConnections.usable(connections),
-      req.idempotent,
+      { idempotent: req.idempotent },
     );
     const runMs = Math.ceil(Math.min(maxRunMs, req.deadlineAt - startedAt));
     const cancel = () => job.exchange?.abort(new AttemptAbandoned("cancelled"));
--- a/src/upstreams/upstream_connection.ts
+++ b/src/upstreams/upstream_connection.ts
@@ -37,6 +37,9 @@
 
 /** One connection to an upstream; carries one request at a time. */
 export class UpstreamConnection {
+  static #opened = 0;
+  /** Identifies the connection in the logs of this process. */
+  readonly number = ++UpstreamConnection.#opened;
   readonly #options: Options;
   readonly #client: Client;
   #socket: UpstreamSocket | undefined;
--- a/src/upstreams/upstream_connections.ts
+++ b/src/upstreams/upstream_connections.ts
@@ -87,18 +87,27 @@
    * must not use more than `limit` connections concurrently.
    *
    * @param limit - number of connections that may carry requests
-   * @param idempotent - whether the request may run twice and so may use a
-   * connection that has been idle for longer
+   * @param request - `idempotent`: whether the request may run twice and so may
+   * use a connection that has been idle for longer; `sentOn`: connections on
+   * which it has already been sent, none of which is returned
    * @returns a connection, to be returned with `release` or `discard`
    */
-  acquire(limit: number, idempotent: boolean): UpstreamConnection {
+  acquire(
+    limit: number,
+    { idempotent, sentOn }: {
+      idempotent: boolean;
+      sentOn?: ReadonlySet<UpstreamConnection>;
+    },
+  ): UpstreamConnection {
     const now = this.#options.clock.now();
     const maxIdleMs = this.#options.idleLimit.maxIdleMs(
       idempotent ? IDLE_TIMEOUT_MS : NON_IDEMPOTENT_IDLE_TIMEOUT_MS,
       now,
     );
     this.#closeIdle();
-    const newest = this.#idle.at(-1);
+    const newest = this.#idle.findLast(({ connection }) =>
+      sentOn?.has(connection) !== true
+    );
     if (newest !== undefined && now - newest.since <= maxIdleMs) {
       return this.#reuse(newest);
     }
--- a/tests/direct/attempt_test.ts
+++ b/tests/direct/attempt_test.ts
@@ -5,12 +5,11 @@
 import { attempt } from "../../src/direct/attempt.ts";
 import { ByteBudget } from "../../src/limits/byte_budget.ts";
 import { listenOn } from "../../dev/standins/listen_on.ts";
-import { httpHeaders } from "../../platform/http_headers.ts";
+import { attemptOptions } from "../support/attempt_options.ts";
 import { RawUpstream } from "../support/raw_upstream.ts";
 import { testCall } from "../support/test_call.ts";
 import { testUpstream } from "../support/test_upstream.ts";
 
-const ANSWER_MEMORY_BYTES = 32 * 1024 * 1024;
 const ID = "9c41d07be2a35f68";
 const HEAD = `HTTP/1.1 200 OK\r\nFescuerun-Request-Id: ${ID}\r\n` +
   "Fescuerun-Response-Signature: s\r\n";
@@ -20,16 +19,10 @@
 async function send(onRequest: (socket: Socket) => void) {
   const raw = await new RawUpstream(onRequest).listen();
   const upstream = testUpstream({ address: `127.0.0.1:${raw.port}` });
-  const result = await attempt({
-    call,
-    upstream,
-    idempotent: true,
-    protocol: httpHeaders,
-    clock: systemClock,
-    deadlineAt: systemClock.now() + 5000,
-    maxConnections: 2,
-    answerMemory: new ByteBudget(ANSWER_MEMORY_BYTES),
-  }, new AbortController().signal);
+  const result = await attempt(
+    attemptOptions(upstream, { call }),
+    new AbortController().signal,
+  );
   upstream.close();
   raw.close();
   return result;
@@ -164,16 +157,10 @@
     const upstream = testUpstream({ address: `127.0.0.1:${raw.port}` });
     const answerMemory = new ByteBudget(1024 * 1024);
     const sendOne = () =>
-      attempt({
-        call,
-        upstream,
-        idempotent: true,
-        protocol: httpHeaders,
-        clock: systemClock,
-        deadlineAt: systemClock.now() + 5000,
-        maxConnections: 2,
-        answerMemory,
-      }, new AbortController().signal);
+      attempt(
+        attemptOptions(upstream, { call, answerMemory }),
+        new AbortController().signal,
+      );
     assert.equal((await sendOne()).kind, "answered");
     assert.equal(answerMemory.used, 0);
     answerMemory.take(512 * 1024);
@@ -215,16 +202,13 @@
       });
       const port = await listenOn(server, 0);
       const upstream = testUpstream({ address: `127.0.0.1:${port}` });
-      const result = await attempt({
-        call: { ...call, method: "POST" },
-        upstream,
-        idempotent: false,
-        protocol: httpHeaders,
-        clock: systemClock,
-        deadlineAt: systemClock.now() + 5000,
-        maxConnections: 2,
-        answerMemory: new ByteBudget(ANSWER_MEMORY_BYTES),
-      }, new AbortController().signal);
+      const result = await attempt(
+        attemptOptions(upstream, {
+          call: { ...call, method: "POST" },
+          idempotent: false,
+        }),
+        new AbortController().signal,
+      );
       upstream.close();
       server.close();
       assert.equal(result.kind, kind);
--- a/tests/direct/direct_router_test.ts
+++ b/tests/direct/direct_router_test.ts
@@ -2,18 +2,12 @@
 import { createServer, type Socket } from "node:net";
 import { describe, it } from "node:test";
 import { listenOn } from "../../dev/standins/listen_on.ts";
-import { httpHeaders } from "../../platform/http_headers.ts";
-import type { Clock } from "../../src/base/clock.ts";
 import { systemClock } from "../../src/base/system_clock.ts";
-import { DirectMetrics } from "../../src/direct/direct_metrics.ts";
-import { DirectRouter } from "../../src/direct/direct_router.ts";
 import type { Route } from "../../src/direct/route.ts";
-import { WorkTimes } from "../../src/direct/work_times.ts";
-import { FleetRetryBudget } from "../../src/limits/fleet_retry_budget.ts";
 import { FleetRig } from "../support/fleet_rig.ts";
 import { RawUpstream } from "../support/raw_upstream.ts";
-import { silentLogger } from "../support/silent_logger.ts";
 import { testCall } from "../support/test_call.ts";
+import { testDirectRouter } from "../support/test_direct_router.ts";
 
 type Behaviour =
   | "leave"
@@ -75,30 +69,6 @@
   }
 }
 
-function routerOf(
-  rig: FleetRig<Clock>,
-  slack: number,
-  onStaleOwnership: () => void = () => undefined,
-): DirectRouter {
-  return new DirectRouter({
-    view: rig.view,
-    work: new WorkTimes(),
-    protocol: httpHeaders,
-    budget: new FleetRetryBudget({
-      clock: rig.clock,
-      bound: { ratio: 0, windowMs: 10_000, slack },
-      vms: () => 1,
-    }),
-    clock: rig.clock,
-    logger: silentLogger(),
-    metrics: new DirectMetrics(),
-    location: { vm: "vm-1", failureDomain: "a1", region: "a" },
-    countKey: () => undefined,
-    onStaleOwnership,
-    configAgeMs: () => 0,
-  });
-}
-
 /** Sends one request through a router to upstreams with given behaviours. */
 async function serve(
   behaviours: Behaviour[],
@@ -133,7 +103,7 @@
       failureDomain: index === 0 ? "a1" : "b1",
     });
   }
-  const router = routerOf(rig, options.slack ?? 50);
+  const router = testDirectRouter(rig, options.slack ?? 50);
   if (options.stopMs !== undefined) router.stopWithin(options.stopMs);
   const handle = () =>
     router.handle(
@@ -257,7 +227,7 @@
   // callers' retries.
   it("holds a request until the configuration is read", async () => {
     const rig = FleetRig.manual();
-    const router = routerOf(rig, 5);
+    const router = testDirectRouter(rig, 5);
     const sendRequest = () =>
       router.handle({
         requestId: ID,
@@ -281,7 +251,7 @@
 
   it("refuses without waiting if there is no configuration 5 s after start", async () => {
     const rig = FleetRig.manual();
-    const router = routerOf(rig, 5);
+    const router = testDirectRouter(rig, 5);
     await rig.clock.advance(5000);
     const outcome = await router.handle({
       requestId: ID,
@@ -324,7 +294,7 @@
       rig.upstream({ id: "u-1", address: `127.0.0.1:${raw.port}`, slots });
       rig.owners({ id: "u-1", previous: [...previous ?? []] });
       let refreshes = 0;
-      const router = routerOf(rig, 50, () => refreshes++);
+      const router = testDirectRouter(rig, 50, () => refreshes++);
       await router.handle({
         requestId: ID,
         method: "POST",
@@ -354,7 +324,7 @@
     rig.upstream({ id: "u-2" });
     rig.owners({ id: "u-1", previous: [moving] });
     let ended = false;
-    void routerOf(rig, 50).handle({
+    void testDirectRouter(rig, 50).handle({
       requestId: ID,
       method: "POST",
       target: "/a/x",
@@ -410,7 +380,7 @@
       rig.view.setRegistry([]);
       rig.upstream({ id: "u-0", address: `127.0.0.1:${port}` });
       rig.owners({ id: "u-0" });
-      const outcome = await routerOf(rig, 50).handle(
+      const outcome = await testDirectRouter(rig, 50).handle(
         testCall({
           method: "POST",
           receivedAt: systemClock.now(),
@@ -460,7 +430,7 @@
       rig.view.setRegistry([]);
       rig.upstream({ id: "u-0", address: `127.0.0.1:${raw.port}` });
       const disconnected = new AbortController();
-      const outcome = routerOf(rig, 50).handle(
+      const outcome = testDirectRouter(rig, 50).handle(
         testCall({ receivedAt: systemClock.now(), deadlineMs: 600 }),
         disconnected.signal,
       );
@@ -492,7 +462,7 @@
       }).listen();
       rig.view.setRegistry([]);
       rig.upstream({ id: "u-0", address: `127.0.0.1:${raw.port}` });
-      const outcome = await routerOf(rig, 50).handle(
+      const outcome = await testDirectRouter(rig, 50).handle(
         testCall({ receivedAt: systemClock.now(), deadlineMs: 5000 }),
         ended.signal,
         new AbortController().signal,
--- a/tests/direct/endless_bytes_test.ts
+++ b/tests/direct/endless_bytes_test.ts
@@ -1,17 +1,15 @@
 import assert from "node:assert/strict";
 import { monitorEventLoopDelay } from "node:perf_hooks";
 import { describe, it } from "node:test";
-import { httpHeaders } from "../../platform/http_headers.ts";
 import type { Clock } from "../../src/base/clock.ts";
 import { systemClock } from "../../src/base/system_clock.ts";
 import { attempt } from "../../src/direct/attempt.ts";
-import { ByteBudget } from "../../src/limits/byte_budget.ts";
 import { startEndlessUpstream } from "../support/endless_upstream.ts";
+import { attemptOptions } from "../support/attempt_options.ts";
 import { RawUpstream } from "../support/raw_upstream.ts";
 import { testCall } from "../support/test_call.ts";
 import { testUpstream } from "../support/test_upstream.ts";
 
-const ANSWER_MEMORY_BYTES = 32 * 1024 * 1024;
 type Shape = Parameters<typeof startEndlessUpstream>[0];
 type Upstream = ReturnType<typeof testUpstream>;
 
@@ -47,16 +45,14 @@
   deadlineMs: number,
   clock: Clock = systemClock,
 ) {
-  return attempt({
-    call: testCall(),
-    upstream,
-    idempotent: true,
-    protocol: httpHeaders,
-    clock,
-    deadlineAt: clock.now() + deadlineMs,
-    maxConnections: 4,
-    answerMemory: new ByteBudget(ANSWER_MEMORY_BYTES),
-  }, new AbortController().signal);
+  return attempt(
+    attemptOptions(upstream, {
+      clock,
+      deadlineAt: clock.now() + deadlineMs,
+      maxConnections: 4,
+    }),
+    new AbortController().signal,
+  );
 }
 
 function quantile(values: readonly number[], fraction: number): number {
--- a/tests/direct/forgotten_connections_test.ts
+++ b/tests/direct/forgotten_connections_test.ts
@@ -2,15 +2,13 @@
 import { describe, it } from "node:test";
 import { systemClock } from "../../src/base/system_clock.ts";
 import { attempt } from "../../src/direct/attempt.ts";
-import { ByteBudget } from "../../src/limits/byte_budget.ts";
 import type { Upstream } from "../../src/direct/upstream.ts";
 import { IdleLimit } from "../../src/upstreams/idle_limit.ts";
-import { httpHeaders } from "../../platform/http_headers.ts";
+import { attemptOptions } from "../support/attempt_options.ts";
 import { RawUpstream } from "../support/raw_upstream.ts";
 import { testCall } from "../support/test_call.ts";
 import { testUpstream } from "../support/test_upstream.ts";
 
-const ANSWER_MEMORY_BYTES = 32 * 1024 * 1024;
 const ID = "9c41d07be2a35f68";
 const ANSWER = `HTTP/1.1 200 OK\r\nFescuerun-Request-Id: ${ID}\r\n` +
   "Fescuerun-Response-Signature: s\r\nContent-Length: 0\r\n\r\n";
@@ -35,16 +33,10 @@
 }
 
 async function send(upstream: Upstream): Promise<string> {
-  const { kind } = await attempt({
-    call,
-    upstream,
-    idempotent: false,
-    protocol: httpHeaders,
-    clock: systemClock,
-    deadlineAt: systemClock.now() + 5000,
-    maxConnections: 2,
-    answerMemory: new ByteBudget(ANSWER_MEMORY_BYTES),
-  }, new AbortController().signal);
+  const { kind } = await attempt(
+    attemptOptions(upstream, { call, idempotent: false }),
+    new AbortController().signal,
+  );
   return kind;
 }
 
--- a/tests/direct/late_answers_test.ts
+++ b/tests/direct/late_answers_test.ts
@@ -1,17 +1,14 @@
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
 import { describe, it } from "node:test";
-import { httpHeaders } from "../../platform/http_headers.ts";
 import { afterNextPoll } from "../../src/base/after_next_poll.ts";
 import { systemClock } from "../../src/base/system_clock.ts";
 import { attempt } from "../../src/direct/attempt.ts";
-import { ByteBudget } from "../../src/limits/byte_budget.ts";
+import { attemptOptions } from "../support/attempt_options.ts";
 import { RawUpstream } from "../support/raw_upstream.ts";
 import { testCall } from "../support/test_call.ts";
 import { testUpstream } from "../support/test_upstream.ts";
 
-const ANSWER_MEMORY_BYTES = 1024 * 1024;
-const DEADLINE_MS = 2000;
 const REQUESTS = 12;
 
 function answerTo(id: string): string {
@@ -59,16 +56,13 @@
       let answered = 0;
       for (let n = 0; n < REQUESTS; n++) {
         const requestId = `request-${n}`;
-        const result = await attempt({
-          call: testCall({ requestId }),
-          upstream,
-          idempotent: true,
-          protocol: httpHeaders,
-          clock: systemClock,
-          deadlineAt: systemClock.now() + DEADLINE_MS,
-          maxConnections: 1,
-          answerMemory: new ByteBudget(ANSWER_MEMORY_BYTES),
-        }, new AbortController().signal);
+        const result = await attempt(
+          attemptOptions(upstream, {
+            call: testCall({ requestId }),
+            maxConnections: 1,
+          }),
+          new AbortController().signal,
+        );
         if (result.kind !== "answered") continue;
         answered++;
         assert.equal(Buffer.from(result.body).toString(), requestId);
@@ -105,16 +99,14 @@
         const kinds = new Set<string>();
         for (let n = 0; n < REQUESTS; n++) {
           const requestId = `request-${n}`;
-          const { kind } = await attempt({
-            call: testCall({ requestId }),
-            upstream,
-            idempotent,
-            protocol: httpHeaders,
-            clock: systemClock,
-            deadlineAt: systemClock.now() + DEADLINE_MS,
-            maxConnections: 1,
-            answerMemory: new ByteBudget(ANSWER_MEMORY_BYTES),
-          }, new AbortController().signal);
+          const { kind } = await attempt(
+            attemptOptions(upstream, {
+              call: testCall({ requestId }),
+              idempotent,
+              maxConnections: 1,
+            }),
+            new AbortController().signal,
+          );
           kinds.add(kind);
           if (run.includes(requestId)) assert.notEqual(kind, "rejected");
           await afterNextPoll();
