fix(upstreams): close a connection after a refusal of the own contract

Not seen outside a test.

Change: the connection is discarded, as orders of keys have it already.

A second copy of an accepted grant is not told apart; the design page says why this leaves no two owners, and a test of GrantClient holds it to one order.

--- a/src/upstreams/dispatcher.ts
+++ b/src/upstreams/dispatcher.ts
@@ -476,6 +476,7 @@
     const runMs = Math.ceil(Math.min(maxRunMs, req.deadlineAt - startedAt));
     const cancel = () => job.exchange?.abort(new AttemptAbandoned("cancelled"));
     job.signal.addEventListener("abort", cancel, { once: true });
+    let reusable = true;
     job.exchange = new UpstreamExchange({
       connection,
       request: req,
@@ -483,8 +484,11 @@
       beforeSend: () => this.#beforeSend(job, runMs),
       onEnded: (err) => {
         job.signal.removeEventListener("abort", cancel);
-        if (err === undefined) this.#connections.release(connection);
-        else this.#connections.discard(connection, err);
+        if (err !== undefined) this.#connections.discard(connection, err);
+        else if (reusable) this.#connections.release(connection);
+        else {
+          this.#connections.discard(connection, new Error("request refused"));
+        }
         this.#onEnded(job, err);
       },
     });
@@ -493,6 +497,9 @@
     if (head.kind === "answered") this.#onAnswer(job, head);
     const outcome = attemptOutcome(head, this.waitMs());
     if (head.kind === "answered" && outcome.kind === "refused") {
+      // Refusals do not name their request. A late second copy would be taken
+      // for a refusal of the next request on the connection.
+      reusable = false;
       head.body.resume();
     }
     this.#recordMetrics(outcome, answeredAt - startedAt);
--- a/tests/platform/grant_client_test.ts
+++ b/tests/platform/grant_client_test.ts
@@ -208,6 +208,31 @@
     raw.close();
   });
 
+  // Guards against a refused grant that counts as accepted for longer than until
+  // the next renewal: answers to orders do not name them, and a renewal must use
+  // the connection of an accepted grant.
+  it("takes a second copy of an accepted grant for at most one refusal", async () => {
+    const refusal = "HTTP/1.1 409 Stale\r\nContent-Length: 0\r\n\r\n";
+    let grants = 0;
+    const raw = await new RawUpstream((socket) => {
+      grants++;
+      if (grants === 2) socket.write(ACCEPTED);
+      socket.write(grants === 1 ? ACCEPTED : refusal);
+    }).listen();
+    const end = new AbortController();
+    const client = new GrantClient(systemClock, end.signal);
+    const renew = (sameProcess: boolean) =>
+      client.grant(
+        { ...order(raw.port), sameProcess },
+        AbortSignal.timeout(ORDER_TIMEOUT_MS),
+      );
+    assert.equal(await renew(false), "granted");
+    assert.equal(await renew(true), "granted");
+    assert.notEqual(await renew(true), "granted");
+    end.abort();
+    raw.close();
+  });
+
   // Guards against a connection of each order that stays open forever and keeps
   // the processor busy.
   for (const shape of ["a body", "a reason phrase"] as const) {
--- a/tests/upstreams/dispatcher_test.ts
+++ b/tests/upstreams/dispatcher_test.ts
@@ -599,3 +599,22 @@
   assert.deepEqual(setup.pool.collectReport().tenures, []);
   assert.equal(await setup.outcome(), NOT_DISPATCHER);
 });
+
+// Guards against a request that runs and counts as refused, and then runs at
+// another upstream: a refusal is written a second time on a kept connection.
+test("sends no request on a connection after a refusal", async (t) => {
+  const setup = await DispatchSetup.start(t);
+  setup.upstream.steps = [
+    {
+      kind: "answer",
+      status: 503,
+      headers: { "fescuerun-not-run": "full" },
+    },
+  ];
+  assert.equal(await setup.outcome(), "upstream_unavailable not_run");
+  // A connection returns to the pool in a later turn of the event loop.
+  await setup.clock.advance(10);
+  assert.equal(await setup.outcome(), "200 done");
+  const [refused, next] = setup.upstream.received;
+  assert.notEqual(next!.connection, refused!.connection);
+});
