--- a/tests/platform/late_leave_test.ts
+++ b/tests/platform/late_leave_test.ts
@@ -20,9 +20,11 @@
     service: "s1",
     address: "10.1.0.1:8080",
     zone: "a1",
+    version: "1.0",
     slots: 2,
     state,
     warmupRemaining: "0s",
+    sequence: 1,
     born: 1,
   });
 }
--- a/tests/platform/rows_test.ts
+++ b/tests/platform/rows_test.ts
@@ -75,6 +75,18 @@
     });
   });
 
+  // Guards against requests at an upstream of another service: another writer's
+  // row, in which a field is missing or has another type, names a service.
+  for (const field of Object.keys(UPSTREAM)) {
+    for (const value of [undefined, null, {}]) {
+      it(`rejects ${JSON.stringify(value)} as ${field}`, () =>
+        assert.equal(
+          readUpstreamRow(row({ ...UPSTREAM, [field]: value })),
+          undefined,
+        ));
+    }
+  }
+
   // Other writers may overwrite a row with any content.
   const invalid: [string, unknown][] = [
     ["not JSON", "{"],
@@ -88,6 +100,7 @@
     ["no start time", { ...UPSTREAM, born: undefined }],
     ["a start time that is not an integer", { ...UPSTREAM, born: 1.5 }],
     ["a port out of range", { ...UPSTREAM, address: "10.1.0.1:99999" }],
+    ["a sequence that is not a count", { ...UPSTREAM, sequence: 1.5 }],
     ["port 0", { ...UPSTREAM, address: "10.1.0.1:0" }],
     ["an address out of range", { ...UPSTREAM, address: "999.1.1.1:80" }],
     ["an address without numbers", { ...UPSTREAM, address: "....:80" }],
--- a/tests/platform/whole_path_test.ts
+++ b/tests/platform/whole_path_test.ts
@@ -54,9 +54,11 @@
     service: "s1",
     address: `127.0.0.1:${port}`,
     zone: "a1",
+    version: "1.0",
     slots: 2,
     state: "ready",
     warmupRemaining: "0ms",
+    sequence: 1,
     born: 1,
     ...fields,
   });
