fix(direct): believe no unnamed answer on a connection that has carried one

An upstream wrote a 503 without a request id late, after its complete answer to one request, while it ran the next one on the connection.

Cause: an answer with neither id nor signature was believed on any connection; only the connection was closed after it.

Change: on a connection that has carried an answer, one without an id counts as lost, unless it is a refusal and an upstream of the service has refused so as the first answer on a connection, where it cannot be a late copy. Effects of an answer that is not believed (an address of another upstream) are left out as well.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -62,6 +62,7 @@
     options.maxConnections,
     options,
   );
+  const reused = connection.established;
   let sent = false;
   let reusable = true;
   const exchange = new UpstreamExchange({
@@ -103,8 +104,11 @@
   upstream.load.onSent();
   upstream.warmUp.onSent(clock.now());
   try {
-    return await readAnswer(exchange, options, () => {
-      reusable = false;
+    return await readAnswer(exchange, options, {
+      reused,
+      onUnnamed: () => {
+        reusable = false;
+      },
     });
   } finally {
     upstream.load.onEnded();
@@ -116,7 +120,7 @@
 async function readAnswer(
   exchange: UpstreamExchange,
   { call, upstream, protocol, clock, answerMemory }: Options,
-  onUnnamed: () => void,
+  { reused, onUnnamed }: { reused: boolean; onUnnamed: () => void },
 ): Promise<AttemptResult> {
   const head = await exchange.head;
   switch (head.kind) {
@@ -136,22 +140,27 @@
         status,
         headers,
       );
-      // Refusals need not name their request. A late second copy of one would be
-      // taken for a refusal of the next request on the connection.
-      if (answer.identity === "absent") onUnnamed();
-      // The expected upstream no longer has this address. Until its registry
-      // entry is removed, it counts as unreachable and is tried only after a
-      // backoff.
-      if (answer.otherInstance) upstream.failures.onUnreachable(clock.now());
-      // Upstreams name the request in each answer of theirs.
+      const unnamed = answer.identity === "absent";
+      // A late second copy of an answer without a name would be taken for that
+      // to the next request on the connection.
+      if (unnamed) onUnnamed();
+      // The first answer on a connection is no late copy of an earlier one.
+      const unnamedRefusal = unnamed && answer.notExecuted;
+      if (unnamedRefusal && !reused) upstream.onUnnamedRefusal();
+      // Upstreams name the request in each answer, except refusals of some.
+      const late = unnamed && reused &&
+        !(unnamedRefusal && upstream.refusesUnnamed);
       if (
-        answer.identity === "other" ||
-        (answer.signed && answer.identity === "absent")
+        late || answer.identity === "other" || (unnamed && answer.signed)
       ) {
         const err = new Error("the answer belongs to another request");
         exchange.abort(err);
         return { kind: "lost", reason: err.message };
       }
+      // The expected upstream no longer has this address. Until its registry
+      // entry is removed, it counts as unreachable and is tried only after a
+      // backoff.
+      if (answer.otherInstance) upstream.failures.onUnreachable(clock.now());
       if (answer.leaving) upstream.announceLeave();
       if (answer.pauseMs !== undefined) upstream.pause(answer.pauseMs);
       if (answer.load !== undefined) {
--- a/src/direct/upstream.ts
+++ b/src/direct/upstream.ts
@@ -31,11 +31,13 @@
   readonly #closing = new AbortController();
   readonly #clock: Clock;
   readonly #onLeaveAnnounced: () => void;
+  readonly #refuseUnnamed: Set<string>;
 
   /**
    * @param entry - registry entry of the upstream
    * @param clock - clock for connections and estimates
    * @param shared - `idleLimit` for the connections of all upstreams;
+   * `refuseUnnamed` has the services whose refusals need not name the request;
    * `mayReject` returns whether the upstream may reset new connections, because
    * its keys may be hot or connections are scarce; `onLeaveAnnounced` is called
    * once if the upstream says in an answer that it is leaving; `drainingSince`
@@ -46,6 +48,7 @@
     clock: Clock,
     shared: {
       idleLimit: IdleLimit;
+      refuseUnnamed: Set<string>;
       mayReject: () => boolean;
       onLeaveAnnounced: () => void;
       drainingSince: number;
@@ -54,6 +57,7 @@
     this.#entry = entry;
     this.#clock = clock;
     this.#onLeaveAnnounced = shared.onLeaveAnnounced;
+    this.#refuseUnnamed = shared.refuseUnnamed;
     this.load = new LoadEstimate(entry.slots);
     this.connections = new UpstreamConnections({
       address: entry.address,
@@ -112,6 +116,19 @@
     this.#onLeaveAnnounced();
   }
 
+  /**
+   * @returns whether an upstream of its service has refused a request without
+   * naming it
+   */
+  get refusesUnnamed(): boolean {
+    return this.#refuseUnnamed.has(this.#entry.service);
+  }
+
+  /** Records that it has refused a request without naming it. */
+  onUnnamedRefusal(): void {
+    this.#refuseUnnamed.add(this.#entry.service);
+  }
+
   /**
    * Records that it wants no further request from this VM for some time.
    *
--- a/tests/direct/late_answers_test.ts
+++ b/tests/direct/late_answers_test.ts
@@ -10,6 +10,8 @@
 import { testUpstream } from "../support/test_upstream.ts";
 
 const REQUESTS = 12;
+/** Statuses of refusals. */
+const NOT_RUN = new Set(["503 Full", "421 Misdirected", "429 Busy"]);
 
 function answerTo(id: string): string {
   return "HTTP/1.1 200 OK\r\nFescuerun-Response-Signature: s\r\n" +
@@ -77,7 +79,7 @@
   // Guards against a request that an upstream runs, while its caller is told
   // that it has not run, or it is sent to a second upstream: the upstream has
   // repeated an earlier refusal, which need not name its request.
-  for (const status of ["503 Full", "421 Misdirected", "429 Busy"]) {
+  for (const status of NOT_RUN) {
     for (const idempotent of [true, false]) {
       it(`is not taken for a refusal, ${status}, idempotent: ${idempotent}`, async () => {
         const refusal = `HTTP/1.1 ${status}\r\nFescuerun-Not-Executed: 1\r\n` +
@@ -117,4 +119,61 @@
       });
     }
   }
+
+  // Guards against an unsafe request that runs and is sent to a second upstream,
+  // and against a caller that gets a late answer without a name.
+  for (const status of [...NOT_RUN, "404 X", "302 X"]) {
+    for (const idempotent of [true, false]) {
+      it(`is not believed without a name after an answer, ${status}, idempotent: ${idempotent}`, async () => {
+        const copy = `HTTP/1.1 ${status}\r\n${
+          NOT_RUN.has(status) ? "Fescuerun-Not-Executed: 1\r\n" : ""
+        }Content-Length: 0\r\n\r\n`;
+        const used = new Set<Socket>();
+        const raw = await new RawUpstream((socket, text) => {
+          const id = /fescuerun-request-id: (\S+)/i.exec(text)?.[1] ?? "";
+          socket.write((used.has(socket) ? copy : "") + answerTo(id));
+          used.add(socket);
+        }).listen();
+        const upstream = testUpstream({ address: `127.0.0.1:${raw.port}` });
+        const kinds: string[] = [];
+        for (let n = 0; n < 4; n++) {
+          const { kind } = await attempt(
+            attemptOptions(upstream, { idempotent, maxConnections: 1 }),
+            new AbortController().signal,
+          );
+          kinds.push(kind);
+          await afterNextPoll();
+        }
+        assert.deepEqual(kinds, ["answered", "lost", "answered", "lost"]);
+        upstream.close();
+        raw.close();
+      });
+    }
+  }
+
+  // Guards against failures of requests that could be sent elsewhere: the
+  // refusals of some services do not name the request.
+  it("is told from refusals of a service that names no request in them", async () => {
+    const refusal = "HTTP/1.1 503 Full\r\nFescuerun-Not-Executed: 1\r\n" +
+      "Content-Length: 0\r\n\r\n";
+    let requests = 0;
+    const raw = await new RawUpstream((socket, text) => {
+      const id = /fescuerun-request-id: (\S+)/i.exec(text)?.[1] ?? "";
+      socket.write(requests++ % 2 === 0 ? refusal : answerTo(id));
+    }).listen();
+    const upstream = testUpstream({ address: `127.0.0.1:${raw.port}` });
+    const kinds: string[] = [];
+    for (let n = 0; n < 6; n++) {
+      const { kind } = await attempt(
+        attemptOptions(upstream, { idempotent: false, maxConnections: 1 }),
+        new AbortController().signal,
+      );
+      kinds.push(kind);
+      await afterNextPoll();
+    }
+    const expected = ["rejected", "answered"];
+    assert.deepEqual(kinds, [...expected, ...expected, ...expected]);
+    upstream.close();
+    raw.close();
+  });
 });
--- a/tests/support/test_upstream.ts
+++ b/tests/support/test_upstream.ts
@@ -30,6 +30,7 @@
     clock,
     {
       idleLimit,
+      refuseUnnamed: new Set(),
       onLeaveAnnounced: () => undefined,
       mayReject: () => true,
       drainingSince: clock.now(),
