fix(direct): ignore a registry entry that is older than the one in use

The store carried out a heartbeat without response 6 s late, after the one with "draining".

Cause: FleetView took each entry of an incarnation for the newest.

Change: entries keep the upstream's count; a lower one of the same incarnation is ignored for 30 s after the one in use was read. A new incarnation counts anew. An entry of an earlier incarnation is not told apart, as clocks differ.

--- a/dev/bench/tenant_keys.ts
+++ b/dev/bench/tenant_keys.ts
@@ -107,6 +107,7 @@
     this.#view.setRegistry([{
       id: "u",
       incarnation: 1,
+      heartbeat: 1,
       service: "s",
       address: `127.0.0.1:${port}`,
       failureDomain: "a1",
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -394,7 +394,12 @@
     if (this.#missingSince.delete(id)) this.#updateWithheld();
     const same = known?.entry.incarnation === incarnation &&
       known.entry.address === entry.address;
-    if (same) {
+    if (known?.hasNewerThan(entry, clock.now()) === true) {
+      logger.info(
+        { upstream: id, service, state, inUse: known.entry.state },
+        "older registry entry ignored",
+      );
+    } else if (same) {
       if (known.entry.state !== state) {
         logger.info(
           { upstream: id, service, before: known.entry.state, state },
--- a/src/direct/upstream.ts
+++ b/src/direct/upstream.ts
@@ -13,6 +13,12 @@
  * Queues that are too long for new connections last for some seconds.
  */
 const AWAIT_ACCEPTANCE_MS = 10_000;
+/**
+ * A write of a registry entry may be carried out some seconds late, after later
+ * ones. For this time after an entry was read, older ones count as such. It ends
+ * the effect of a wrong count.
+ */
+const LATE_ENTRY_MS = 30_000;
 
 /**
  * One incarnation of an upstream: its registry entry, its connections, and this
@@ -24,6 +30,7 @@
   readonly warmUp = new WarmUpRateLimiter();
   readonly connections: UpstreamConnections;
   #entry: UpstreamEntry;
+  #entryReadAt: number;
   #drainingSince: number | undefined;
   #leaveAnnouncedAt: number | undefined;
   #pausedUntil = Number.NEGATIVE_INFINITY;
@@ -55,6 +62,7 @@
     },
   ) {
     this.#entry = entry;
+    this.#entryReadAt = clock.now();
     this.#clock = clock;
     this.#onLeaveAnnounced = shared.onLeaveAnnounced;
     this.#refuseUnnamed = shared.refuseUnnamed;
@@ -87,6 +95,18 @@
     return this.#entry;
   }
 
+  /**
+   * @param entry - entry that has just been read
+   * @param now - monotonic milliseconds
+   * @returns whether the incarnation wrote it before the last entry, which was
+   * read shortly before
+   */
+  hasNewerThan(entry: UpstreamEntry, now: number): boolean {
+    return entry.incarnation === this.#entry.incarnation &&
+      entry.heartbeat < this.#entry.heartbeat &&
+      now - this.#entryReadAt < LATE_ENTRY_MS;
+  }
+
   /**
    * @returns since when it is known to be draining, by its registry entry or by
    * an answer, in monotonic milliseconds; undefined if it is not draining
@@ -156,6 +176,7 @@
     { now, drainingSince }: { now: number; drainingSince: number },
   ): void {
     this.#entry = entry;
+    this.#entryReadAt = now;
     if (entry.state === "draining") this.#drainingSince ??= drainingSince;
     else this.#drainingSince = undefined;
     this.warmUp.setColdUntil(now + entry.warmUpMs, now);
--- a/src/direct/upstream_entry.ts
+++ b/src/direct/upstream_entry.ts
@@ -17,6 +17,8 @@
    * keys of the one before.
    */
   incarnation: z.number().int().nonnegative(),
+  /** Counts the entries that the incarnation has written. */
+  heartbeat: z.number().int().nonnegative(),
   service: Name,
   address: UpstreamAddress,
   failureDomain: Name,
--- a/tests/direct/fleet_view_test.ts
+++ b/tests/direct/fleet_view_test.ts
@@ -126,6 +126,41 @@
     assert.equal(after.load.inFlight, 0);
   });
 
+  // Guards against requests to an upstream that drains: a write of its entry
+  // from before that is carried out late, also after the removal of its entry.
+  for (const removed of [false, true]) {
+    it(`keeps an upstream draining when an older entry follows, removed: ${removed}`, async () => {
+      const rig = FleetRig.manual();
+      const upstream = rig.upstream({ state: "draining", heartbeat: 8 });
+      await rig.clock.advance(1600);
+      if (removed) rig.view.removeUpstreams(["u-1"]);
+      rig.upstream({ state: "ready", heartbeat: 4 });
+      assert.equal(rig.view.upstream("u-1"), upstream);
+      assert.equal(upstream.drainingSince, 0);
+      rig.upstream({ state: "ready", heartbeat: 9 });
+      assert.equal(upstream.drainingSince, undefined);
+    });
+  }
+
+  // Guards against an upstream that is not used after it has started again, as
+  // its count of entries starts anew.
+  it("takes a lower heartbeat of a new incarnation", () => {
+    const rig = FleetRig.manual();
+    rig.upstream({ state: "draining", heartbeat: 8 });
+    const after = rig.upstream({ incarnation: 2, heartbeat: 1 });
+    assert.equal(after.entry.heartbeat, 1);
+    assert.equal(after.drainingSince, undefined);
+  });
+
+  // Guards against a count of another writer that hides all later entries.
+  it("takes a lower heartbeat 30 s after a higher one", async () => {
+    const rig = FleetRig.manual();
+    const upstream = rig.upstream({ heartbeat: 1e12 });
+    await rig.clock.advance(30_000);
+    rig.upstream({ state: "draining", heartbeat: 8 });
+    assert.equal(upstream.drainingSince, 30_000);
+  });
+
   it("treats upstreams of a domain that was evacuated as cold", async () => {
     const rig = FleetRig.manual();
     rig.configure([rig.route()]);
--- a/tests/platform/rows_test.ts
+++ b/tests/platform/rows_test.ts
@@ -66,6 +66,7 @@
     assert.deepEqual(readUpstreamRow(row(UPSTREAM)), {
       id: "i-1",
       incarnation: 1771943084058,
+      heartbeat: 4,
       service: "s1",
       address: "10.1.0.1:8080",
       failureDomain: "a1",
--- a/tests/support/create_domain_load_vm.ts
+++ b/tests/support/create_domain_load_vm.ts
@@ -52,6 +52,7 @@
     view.setUpstream({
       id,
       incarnation: 1,
+      heartbeat: 1,
       service: "s1",
       address: "127.0.0.1:1",
       failureDomain,
--- a/tests/support/fleet_rig.ts
+++ b/tests/support/fleet_rig.ts
@@ -79,6 +79,7 @@
     this.view.setUpstream({
       id,
       incarnation: 1,
+      heartbeat: 1,
       service: "s1",
       address: "127.0.0.1:1",
       failureDomain: "a1",
--- a/tests/support/range_rig.ts
+++ b/tests/support/range_rig.ts
@@ -91,6 +91,7 @@
     view.setUpstream({
       id,
       incarnation,
+      heartbeat: 1,
       service: SERVICE,
       address: `${id}:1`,
       failureDomain: "a1",
--- a/tests/support/test_upstream.ts
+++ b/tests/support/test_upstream.ts
@@ -19,6 +19,7 @@
     {
       id: "u-1",
       incarnation: 1,
+      heartbeat: 1,
       service: "ledger",
       address: "127.0.0.1:1",
       failureDomain: "a1",
