fix(direct): a refusal by another upstream says nothing about the service's own

Found on reading the change: a 421 without a request id from another upstream, which now has the address, counted as a refusal of the service that was expected there, so that late unnamed refusals of that service would have been believed. Not seen outside a test.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -145,7 +145,8 @@
       // to the next request on the connection.
       if (unnamed) onUnnamed();
       // The first answer on a connection is no late copy of an earlier one.
-      const unnamedRefusal = unnamed && answer.notExecuted;
+      const unnamedRefusal = unnamed && answer.notExecuted &&
+        !answer.otherInstance;
       if (unnamedRefusal && !reused) upstream.onUnnamedRefusal();
       // Upstreams name the request in each answer, except refusals of some.
       const late = unnamed && reused &&
--- a/tests/direct/late_answers_test.ts
+++ b/tests/direct/late_answers_test.ts
@@ -151,6 +151,35 @@
     }
   }
 
+  // Guards against a late refusal that is believed because an upstream of another
+  // service, which now has an address, refused a request without naming it.
+  it("is not believed after a refusal by another upstream", async () => {
+    const refusal =
+      "HTTP/1.1 421 Misdirected\r\nFescuerun-Not-Executed: 1\r\n" +
+      "Content-Length: 0\r\n";
+    let requests = 0;
+    const raw = await new RawUpstream((socket, text) => {
+      const id = /fescuerun-request-id: (\S+)/i.exec(text)?.[1] ?? "";
+      requests++;
+      if (requests === 1) {
+        socket.write(`${refusal}Fescuerun-Instance-Id: u-2\r\n\r\n`);
+      } else socket.write(requests === 2 ? answerTo(id) : `${refusal}\r\n`);
+    }).listen();
+    const upstream = testUpstream({ address: `127.0.0.1:${raw.port}` });
+    const kinds: string[] = [];
+    for (let n = 0; n < 3; n++) {
+      const { kind } = await attempt(
+        attemptOptions(upstream, { idempotent: false, maxConnections: 1 }),
+        new AbortController().signal,
+      );
+      kinds.push(kind);
+      await afterNextPoll();
+    }
+    assert.deepEqual(kinds, ["rejected", "answered", "lost"]);
+    upstream.close();
+    raw.close();
+  });
+
   // Guards against failures of requests that could be sent elsewhere: the
   // refusals of some services do not name the request.
   it("is told from refusals of a service that names no request in them", async () => {
