fix(direct): believe unnamed refusals of upstreams that have named none

Cause: the upstreams of the soak refuse without a request id, as in the examples of the protocol.

Change: it counts as lost only if this upstream has named the request in an earlier refusal.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -144,13 +144,12 @@
       // A late second copy of an answer without a name would be taken for that
       // to the next request on the connection.
       if (unnamed) onUnnamed();
-      // The first answer on a connection is no late copy of an earlier one.
-      const unnamedRefusal = unnamed && answer.notExecuted &&
-        !answer.otherInstance;
-      if (unnamedRefusal && !reused) upstream.onUnnamedRefusal();
-      // Upstreams name the request in each answer, except refusals of some.
+      const refusal = answer.notExecuted && !answer.otherInstance;
+      if (refusal && answer.identity === "same") upstream.onNamedRefusal();
+      // Upstreams name the request in each answer, except refusals of some. The
+      // first answer on a connection is no late copy of an earlier one.
       const late = unnamed && reused &&
-        !(unnamedRefusal && upstream.refusesUnnamed);
+        (!answer.notExecuted || upstream.namesRefusals);
       if (
         late || answer.identity === "other" || (unnamed && answer.signed)
       ) {
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -71,8 +71,6 @@
   /** Recently removed upstreams by id, and when they were removed. */
   readonly #removed = new Map<string, { upstream: Upstream; at: number }>();
   readonly #idleLimit: IdleLimit;
-  /** Services of which an upstream has refused a request without naming it. */
-  readonly #refuseUnnamed = new Set<string>();
   readonly #missingSince = new Map<string, number>();
   /**
    * Ids in `#missingSince` whose entries a restored registry lacks. They were
@@ -540,7 +538,6 @@
     const { service } = entry;
     return {
       idleLimit: this.#idleLimit,
-      refuseUnnamed: this.#refuseUnnamed,
       onLeaveAnnounced: () => this.#recordLeave(entry),
       mayReject: () => {
         const policy = this.policy(service);
--- a/src/direct/upstream.ts
+++ b/src/direct/upstream.ts
@@ -38,13 +38,12 @@
   readonly #closing = new AbortController();
   readonly #clock: Clock;
   readonly #onLeaveAnnounced: () => void;
-  readonly #refuseUnnamed: Set<string>;
+  #namesRefusals = false;
 
   /**
    * @param entry - registry entry of the upstream
    * @param clock - clock for connections and estimates
    * @param shared - `idleLimit` for the connections of all upstreams;
-   * `refuseUnnamed` has the services whose refusals need not name the request;
    * `mayReject` returns whether the upstream may reset new connections, because
    * its keys may be hot or connections are scarce; `onLeaveAnnounced` is called
    * once if the upstream says in an answer that it is leaving; `drainingSince`
@@ -55,7 +54,6 @@
     clock: Clock,
     shared: {
       idleLimit: IdleLimit;
-      refuseUnnamed: Set<string>;
       mayReject: () => boolean;
       onLeaveAnnounced: () => void;
       drainingSince: number;
@@ -65,7 +63,6 @@
     this.#entryReadAt = clock.now();
     this.#clock = clock;
     this.#onLeaveAnnounced = shared.onLeaveAnnounced;
-    this.#refuseUnnamed = shared.refuseUnnamed;
     this.load = new LoadEstimate(entry.slots);
     this.connections = new UpstreamConnections({
       address: entry.address,
@@ -137,16 +134,15 @@
   }
 
   /**
-   * @returns whether an upstream of its service has refused a request without
-   * naming it
+   * @returns whether it has named a request in a refusal
    */
-  get refusesUnnamed(): boolean {
-    return this.#refuseUnnamed.has(this.#entry.service);
+  get namesRefusals(): boolean {
+    return this.#namesRefusals;
   }
 
-  /** Records that it has refused a request without naming it. */
-  onUnnamedRefusal(): void {
-    this.#refuseUnnamed.add(this.#entry.service);
+  /** Records that it has refused a request and named it. */
+  onNamedRefusal(): void {
+    this.#namesRefusals = true;
   }
 
   /**
