feat(direct): log how old the registry was when a request was sent

Each choice in the steps of a request now gives the age of the registry, each write its time and for how long the upstream had been known to leave. Changes of upstreams are logged with source and lateness, as those of the configuration are. Two histograms count requests to leaving upstreams, and by how much the periodic tasks of the process run late; from 250 ms on, that is logged too. No decision changes.

--- a/dev/bench/tenant_keys.ts
+++ b/dev/bench/tenant_keys.ts
@@ -136,6 +136,7 @@
         countKey: () => undefined,
         onStaleOwnership: () => undefined,
         configAgeMs: () => 0,
+        registryAgeMs: () => 0,
       }),
       maxBodyBytes: () => 1000,
       bodyMemoryBytes: 1_000_000,
--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -107,6 +107,8 @@
  */
 const MAX_GRANT_HOLD_MS = 4000;
 const PERIODIC_TASKS_INTERVAL_MS = 250;
+/** A process that runs late by as much is logged. */
+const LOGGED_DELAY_MS = 250;
 
 /** Reports are small, and a healthy peer sends them without delay. */
 const PEER_REQUEST_LIMITS = { maxHeaderBytes: 8192, headersTimeoutMs: 2000 };
@@ -273,6 +275,7 @@
           this.#rangeController.countKey(service, key),
         onStaleOwnership: () => this.#relay.refresh(),
         configAgeMs: () => this.#operatorsFollower.ageMs,
+        registryAgeMs: () => this.#registryFollower.ageMs,
       }),
       protocol,
       maxBodyBytes: () =>
@@ -384,13 +387,20 @@
 
   /** Periodically removes missing upstreams and applies the idle timeout. */
   async #runPeriodicTasks(): Promise<void> {
-    const { clock } = this.#opts;
+    const { clock, logger, metrics } = this.#opts;
     const { signal } = this.#shutdown;
+    let dueAt = clock.now();
     while (!signal.aborted) {
+      const delayMs = Math.max(0, clock.now() - dueAt);
+      metrics.processDelay.observe(delayMs / 1000);
+      if (delayMs >= LOGGED_DELAY_MS) {
+        logger.warn({ delayMs: Math.round(delayMs) }, "process ran late");
+      }
       this.#view.removeMissing();
       this.#checkAges();
       const idleMs = this.#view.config?.requests.idleTimeoutMs;
       if (idleMs !== undefined) this.#callerListener.setIdleTimeout(idleMs);
+      dueAt = clock.now() + PERIODIC_TASKS_INTERVAL_MS;
       await clock.sleep(PERIODIC_TASKS_INTERVAL_MS, signal);
     }
   }
--- a/src/direct/direct_metrics.ts
+++ b/src/direct/direct_metrics.ts
@@ -13,6 +13,9 @@
   6,
 ];
 
+const LEAVING_BUCKETS_S = [0.5, 1, 1.5, 2, 2.5, 3, 4];
+const DELAY_BUCKETS_S = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2];
+
 /** Metrics of a VM, in the Prometheus text format. */
 export class DirectMetrics {
   readonly registry = new Registry();
@@ -38,6 +41,22 @@
     labelNames: ["service", "result"] as const,
     registers: [this.registry],
   });
+  /** Requests to upstreams that were known to leave, by service. */
+  readonly leavingSends = new Histogram({
+    name: "fescuerun_leaving_upstream_send_seconds",
+    help:
+      "Time for which an upstream had been known to leave when a request was sent to it.",
+    labelNames: ["service"] as const,
+    buckets: LEAVING_BUCKETS_S,
+    registers: [this.registry],
+  });
+  /** How late the periodic tasks of the process ran. */
+  readonly processDelay = new Histogram({
+    name: "fescuerun_process_delay_seconds",
+    help: "Time by which the periodic tasks of the process ran late.",
+    buckets: DELAY_BUCKETS_S,
+    registers: [this.registry],
+  });
   /** Attempts by service and distance of the upstream. */
   readonly attemptDistances = new Counter({
     name: "fescuerun_upstream_distances_total",
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -49,6 +49,10 @@
    * @returns milliseconds since the configuration was last known to be current
    */
   configAgeMs: () => number;
+  /**
+   * @returns milliseconds since the registry was last known to be current
+   */
+  registryAgeMs: () => number;
   /** Rate limits of tenants; by default there are none. */
   limiter?: TenantLimiter;
 };
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../base/clock.ts";
 import type { Logger } from "../base/logger.ts";
 import type { RangeTable } from "../ranges/range_table.ts";
+import { originLogFields } from "../rows/origin_log_fields.ts";
 import type { RowOrigin } from "../rows/row_origin.ts";
 import { IdleLimit } from "../upstreams/idle_limit.ts";
 import { areConnectionsScarce } from "./are_connections_scarce.ts";
@@ -247,14 +248,17 @@
   }
 
   /**
-   * @param upstream - a registered upstream
-   * @returns milliseconds since it became known to be draining or evacuated, or
-   * is withheld because its registry entry is missing, longer if that may have
-   * been stored more than `LEAVE_LATENESS_MS` before; 0 if it is none of these
+   * @param upstream - an upstream that is registered or was removed
+   * @returns milliseconds since it became known to be draining, evacuated or
+   * removed, or is withheld because its registry entry is missing, longer if
+   * that may have been stored more than `LEAVE_LATENESS_MS` before; 0 if it is
+   * none of these
    */
   leavingMs(upstream: Upstream): number {
     const { id } = upstream.entry;
+    const removed = this.#removed.get(id);
     const since = Math.min(
+      removed?.upstream === upstream ? removed.at : Infinity,
       upstream.drainingSince ?? Infinity,
       this.#withheld.has(id)
         ? this.#missingSince.get(id) ?? Infinity
@@ -307,10 +311,7 @@
       version: config.version,
       routes: config.routes.length,
       tenants: config.tenants?.length,
-      source: origin?.source,
-      latenessMs: origin === undefined
-        ? undefined
-        : Math.round(origin.latenessMs),
+      ...originLogFields(origin),
     }, "configuration applied");
     this.changed.notify();
   }
@@ -394,13 +395,25 @@
       known.entry.address === entry.address;
     if (known?.hasNewerThan(entry, clock.now()) === true) {
       logger.info(
-        { upstream: id, service, state, inUse: known.entry.state },
+        {
+          upstream: id,
+          service,
+          state,
+          inUse: known.entry.state,
+          ...originLogFields(origin),
+        },
         "older registry entry ignored",
       );
     } else if (same) {
       if (known.entry.state !== state) {
         logger.info(
-          { upstream: id, service, before: known.entry.state, state },
+          {
+            upstream: id,
+            service,
+            before: known.entry.state,
+            state,
+            ...originLogFields(origin),
+          },
           "upstream state changed",
         );
       }
@@ -415,7 +428,14 @@
       const leave = this.#leaving.get(id);
       if (leave?.incarnation === incarnation) upstream.announceLeave(leave.at);
       logger.info(
-        { upstream: id, incarnation, service, state, failureDomain },
+        {
+          upstream: id,
+          incarnation,
+          service,
+          state,
+          failureDomain,
+          ...originLogFields(origin),
+        },
         "upstream registered",
       );
     }
@@ -448,7 +468,7 @@
     }
     for (const id of known) {
       if (mayHaveLapsed) this.#missingSince.set(id, now);
-      else this.#remove(id);
+      else this.#remove(id, origin);
       if (origin?.restored === true) this.#unrestored.add(id);
     }
     this.#updateWithheld();
@@ -567,7 +587,7 @@
     return upstream;
   }
 
-  #remove(id: string): void {
+  #remove(id: string, origin?: RowOrigin): void {
     this.#missingSince.delete(id);
     this.#unrestored.delete(id);
     const known = this.#upstreams.get(id);
@@ -580,7 +600,11 @@
     this.#removed.set(id, { upstream: known, at: now });
     known.closeWhenReleased();
     this.#opts.logger.info(
-      { upstream: id, service: known.entry.service },
+      {
+        upstream: id,
+        service: known.entry.service,
+        ...originLogFields(origin),
+      },
       "upstream removed",
     );
     this.changed.notify();
--- a/src/direct/upstream_sender.ts
+++ b/src/direct/upstream_sender.ts
@@ -1,6 +1,7 @@
 import type { DomainBalance } from "../balance/domain_balance.ts";
 import type { Clock } from "../base/clock.ts";
 import { ByteBudget } from "../limits/byte_budget.ts";
+import type { UpstreamConnection } from "../upstreams/upstream_connection.ts";
 import { attempt } from "./attempt.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallState } from "./call_state.ts";
@@ -18,6 +19,10 @@
   protocol: WireProtocol;
   clock: Clock;
   metrics: DirectMetrics;
+  /**
+   * @returns milliseconds since the registry was last known to be current
+   */
+  registryAgeMs: () => number;
   balance?: DomainBalance;
 };
 
@@ -63,7 +68,8 @@
       `to ${upstream.entry.id} after ${
         Math.round(sentAt - call.receivedAt)
       } ms:` +
-        ` ${expectedMs} ms expected, ${upstream.load.describe(sentAt)}`,
+        ` ${expectedMs} ms expected, ${upstream.load.describe(sentAt)},` +
+        ` registry ${Math.round(this.#opts.registryAgeMs())} ms old`,
     );
     const result = await attempt({
       call,
@@ -79,7 +85,7 @@
       sentOn: state.sentOn,
       onSent: (connection) => {
         state.sentOn.add(connection);
-        state.steps.push(`sent on connection ${connection.number}`);
+        this.#recordWrite(state, upstream, connection);
       },
       answerMemory: this.#answerMemory,
       // A non-idempotent request is not aborted when its caller disconnects,
@@ -109,6 +115,25 @@
     return { upstream, result };
   }
 
+  #recordWrite(
+    { call, service, steps }: CallState,
+    upstream: Upstream,
+    connection: UpstreamConnection,
+  ): void {
+    const { clock, view, metrics } = this.#opts;
+    const afterMs = Math.round(clock.now() - call.receivedAt);
+    const leavingMs = view.leavingMs(upstream);
+    const leaving = leavingMs > 0
+      ? `, leaving for ${Math.round(leavingMs)} ms`
+      : "";
+    steps.push(
+      `sent on connection ${connection.number} after ${afterMs} ms${leaving}`,
+    );
+    if (leavingMs > 0) {
+      metrics.leavingSends.observe({ service }, leavingMs / 1000);
+    }
+  }
+
   #updateEstimates(
     { route }: CallState,
     upstream: Upstream,
--- a/tests/direct/broken_heads_test.ts
+++ b/tests/direct/broken_heads_test.ts
@@ -71,6 +71,7 @@
       countKey: () => undefined,
       onStaleOwnership: () => undefined,
       configAgeMs: () => 0,
+      registryAgeMs: () => 0,
     }),
     protocol: httpHeaders,
     maxBodyBytes: () => 1000,
--- a/tests/support/tenant_rig.ts
+++ b/tests/support/tenant_rig.ts
@@ -82,6 +82,7 @@
       countKey: () => undefined,
       onStaleOwnership: () => undefined,
       configAgeMs: () => 0,
+      registryAgeMs: () => 0,
       limiter: {
         admit: ({ name }) => {
           this.admitted.push(name);
--- a/tests/support/test_direct_router.ts
+++ b/tests/support/test_direct_router.ts
@@ -34,5 +34,6 @@
     countKey: () => undefined,
     onStaleOwnership,
     configAgeMs: () => 0,
+    registryAgeMs: () => 0,
   });
 }
