--- a/tests/support/fleet_rig.ts
+++ b/tests/support/fleet_rig.ts
@@ -16,10 +16,10 @@
   readonly view: FleetView;
   #rangesVersion = 0;
 
-  constructor(readonly clock: C, vms = 4) {
+  constructor(readonly clock: C, vms = 4, logger = silentLogger()) {
     this.view = new FleetView({
       clock,
-      logger: silentLogger(),
+      logger,
       regionOf: REGION_OF,
       assumedVms: vms,
     });
