fix(direct): end the use of missing upstreams within the drain timeout

Callers saw requests answered, or lost, by upstreams that had left: a VM that had been cut off kept sending to upstreams whose registry entries were gone, after it counted as in touch again (DRAIN).

Cause: entries that are missing after a reconnect may have lapsed in an outage of the registry, so the VM keeps them for 2.2 s, and uses them if more than half of their service is missing. The 2.2 s counted from each report of a reconnect: the VM's own, up to 1.8 s after the end of the cut, and those of its relay, each of which began the time anew, also for an outage that was over for this VM. None of these times knew the bound, nor the age of the rows.

Change: an outage is reported with the time of its end and of the last call that failed in it; one that ended before this VM's rows were confirmed is ignored. LeaveTimes derives from the bounds until when an upstream that leaves or is missing may be used: the earliest possible leave plus the bound, or the last failed call plus the contact time, less a fifth of the bound for the way to the upstream. The 1000 and 1200 ms of owners come from the same place.

--- a/dev/bench/tenant_keys.ts
+++ b/dev/bench/tenant_keys.ts
@@ -89,6 +89,8 @@
     logger: quietLogger,
     regionOf: new Map([["a1", "a"]]),
     assumedVms: 1,
+    changeBoundMs: 2500,
+    contactMs: 3000,
   });
   readonly #upstream = new UpstreamServer({
     id: "u",
--- a/src/direct/choose_upstream.ts
+++ b/src/direct/choose_upstream.ts
@@ -68,12 +68,6 @@
  * cold upstream.
  */
 const KEY_MOVE_WAIT_MS = 400;
-/**
- * How long the owner of a key still gets requests after it began to drain or
- * its failure domain was evacuated. Well below the 2.5 s after which a leaving
- * upstream must receive no new work.
- */
-const LEAVING_OWNER_USE_MS = 1200;
 /** Retry delay for callers if no upstream can be used. */
 const UNAVAILABLE_RETRY_AFTER_MS = 500;
 const MIN_OVERLOADED_RETRY_AFTER_MS = 150;
@@ -125,8 +119,7 @@
   if (owner?.entry.incarnation !== range.owner.incarnation) {
     return unavailable("owner of the key is gone");
   }
-  // Until its keys are reassigned, only the leaving owner can serve them.
-  if (!view.isUsable(owner) && view.leavingMs(owner) > LEAVING_OWNER_USE_MS) {
+  if (!view.mayServeOwnKeys(owner)) {
     return {
       kind: "wait",
       ms: KEY_MOVE_WAIT_MS,
--- a/src/direct/direct_daemon.ts
+++ b/src/direct/direct_daemon.ts
@@ -149,6 +149,8 @@
       logger,
       regionOf: cfg.regionOf,
       assumedVms: ASSUMED_VMS,
+      changeBoundMs: cfg.changeBoundMs,
+      contactMs: cfg.contactMs,
     });
     this.#view = view;
     const sources = opts.sources(view);
@@ -166,7 +168,7 @@
     this.#operatorsFollower = this.#follow(sources.operators, bounded);
     this.#registryFollower = this.#follow(sources.registry, {
       ...bounded,
-      onReconnected: () => view.onRegistryReconnected(),
+      onReconnected: (outage) => view.onRegistryReconnected(outage),
     });
     this.#rangesFollower = this.#follow(this.#rangeSource(), {
       boundMs: Infinity,
--- a/src/direct/direct_settings.ts
+++ b/src/direct/direct_settings.ts
@@ -29,6 +29,11 @@
    * in milliseconds.
    */
   changeBoundMs: number;
+  /**
+   * Time after a disconnection of this VM after which that holds for it again, in
+   * milliseconds.
+   */
+  contactMs: number;
   /** Longest lease on keys that an upstream accepts, in milliseconds. */
   maxHoldMs: number;
   /** Memory for the bodies of all requests, in bytes. */
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -4,8 +4,10 @@
 import type { RangeTable } from "../ranges/range_table.ts";
 import { originLogFields } from "../rows/origin_log_fields.ts";
 import type { RowOrigin } from "../rows/row_origin.ts";
+import type { StoreOutage } from "../rows/store_outage.ts";
 import { IdleLimit } from "../upstreams/idle_limit.ts";
 import { areConnectionsScarce } from "./are_connections_scarce.ts";
+import { LeaveTimes } from "./leave_times.ts";
 import { mostUrgentPriorities } from "./most_urgent_priorities.ts";
 import type { RouteMatcher } from "./route_matcher.ts";
 import type { RoutingConfig } from "./routing_config.ts";
@@ -21,6 +23,20 @@
   regionOf: ReadonlyMap<string, string>;
   /** Number of VMs that is assumed until the leader has counted them. */
   assumedVms: number;
+  /** Time in which changes of upstreams must be in force, in milliseconds. */
+  changeBoundMs: number;
+  /**
+   * Time after a disconnection of this VM after which the bound holds for it
+   * again, in milliseconds.
+   */
+  contactMs: number;
+};
+/** An upstream whose registry entry is missing and may have lapsed. */
+type Missing = {
+  /** Time from which it counts as leaving. */
+  since: number;
+  /** Until when it is used if most of its service is missing. */
+  useEndsAt: number;
 };
 
 /**
@@ -40,12 +56,6 @@
  * fraction of their service is missing, since the others can serve instead.
  */
 const MAX_WITHHELD_FRACTION = 0.5;
-/**
- * Leaving that becomes known later than this counts from an earlier time. With
- * the time for which an owner that leaves is used, this is below the 2.5 s after
- * which it must receive no new work.
- */
-const LEAVE_LATENESS_MS = 1000;
 /**
  * What is known of a removed upstream is kept for this time, since entries that
  * lapsed in an outage of the registry are written again soon after it.
@@ -72,13 +82,15 @@
   /** Recently removed upstreams by id, and when they were removed. */
   readonly #removed = new Map<string, { upstream: Upstream; at: number }>();
   readonly #idleLimit: IdleLimit;
-  readonly #missingSince = new Map<string, number>();
+  readonly #leaveTimes: LeaveTimes;
+  /** By id. */
+  readonly #missing = new Map<string, Missing>();
   /**
-   * Ids in `#missingSince` whose entries a restored registry lacks. They were
+   * Ids in `#missing` whose entries a restored registry lacks. They were
    * registered after the copy was taken, so they are likely to be running.
    */
   readonly #unrestored = new Set<string>();
-  /** Ids in `#missingSince` that get no requests. */
+  /** Ids in `#missing` that get no requests. */
   #withheld: ReadonlySet<string> = new Set();
   /** Incarnations that have announced in an answer to leave, by id. */
   readonly #leaving = new Map<string, { incarnation: number; at: number }>();
@@ -93,16 +105,21 @@
   /** Evacuated failure domains, with the time from which that counts. */
   #evacuated: ReadonlyMap<string, number> = new Map();
   #registryRead = false;
-  #registryReconnectedAt = Number.NEGATIVE_INFINITY;
+  #outage: StoreOutage = {
+    endedAt: Number.NEGATIVE_INFINITY,
+    failedAt: Number.NEGATIVE_INFINITY,
+  };
   #vms: number;
   /** When a number of VMs of at least `#vms` was last reported. */
   #vmsSeenAt: number;
 
   /**
-   * @param opts - clock, log, regions of failure domains, and assumed VM count
+   * @param opts - clock, log, regions of failure domains, assumed VM count, and
+   * bounds of the deployment
    */
   constructor(opts: Options) {
     this.#opts = opts;
+    this.#leaveTimes = new LeaveTimes(opts);
     this.#idleLimit = new IdleLimit((change) =>
       opts.logger.info(change, "idle limit of connections changed")
     );
@@ -210,7 +227,17 @@
    * entry is not missing
    */
   isUsable(upstream: Upstream): boolean {
-    return this.mayOwnKeys(upstream) && !this.#withheld.has(upstream.entry.id);
+    return this.mayOwnKeys(upstream) && !this.#isWithheld(upstream.entry.id);
+  }
+
+  /**
+   * @param owner - a registered upstream
+   * @returns whether it may receive requests for keys that it owns. Until its
+   * keys are reassigned, only an owner that leaves can serve them
+   */
+  mayServeOwnKeys(owner: Upstream): boolean {
+    return this.isUsable(owner) ||
+      this.leavingMs(owner) <= this.#leaveTimes.ownerUseMs;
   }
 
   /**
@@ -251,8 +278,7 @@
    * @param upstream - an upstream that is registered or was removed
    * @returns milliseconds since it became known to be draining, evacuated or
    * removed, or is withheld because its registry entry is missing, longer if
-   * that may have been stored more than `LEAVE_LATENESS_MS` before; 0 if it is
-   * none of these
+   * that may have been stored long before; 0 if it is none of these
    */
   leavingMs(upstream: Upstream): number {
     const { id } = upstream.entry;
@@ -260,8 +286,8 @@
     const since = Math.min(
       removed?.upstream === upstream ? removed.at : Infinity,
       upstream.drainingSince ?? Infinity,
-      this.#withheld.has(id)
-        ? this.#missingSince.get(id) ?? Infinity
+      this.#isWithheld(id)
+        ? this.#missing.get(id)?.since ?? Infinity
         : Infinity,
       this.#evacuated.get(upstream.entry.failureDomain) ?? Infinity,
     );
@@ -374,10 +400,13 @@
 
   /**
    * Records that the registry is reachable again. For `REGISTRY_RECOVERY_MS`
-   * from now, entries that lapsed in an outage may still be missing.
+   * after the end of the outage, entries that lapsed in it may be missing.
+   *
+   * @param outage - the outage; one that was reported before, or ended earlier,
+   * changes nothing
    */
-  onRegistryReconnected(): void {
-    this.#registryReconnectedAt = this.#opts.clock.now();
+  onRegistryReconnected(outage: StoreOutage): void {
+    if (outage.endedAt > this.#outage.endedAt) this.#outage = outage;
   }
 
   /**
@@ -390,7 +419,7 @@
     const { id, incarnation, service, state, failureDomain } = entry;
     const known = this.#upstreams.get(id) ?? this.#restore(entry);
     this.#unrestored.delete(id);
-    if (this.#missingSince.delete(id)) this.#updateWithheld();
+    if (this.#missing.delete(id)) this.#updateWithheld();
     const same = known?.entry.incarnation === incarnation &&
       known.entry.address === entry.address;
     if (known?.hasNewerThan(entry, clock.now()) === true) {
@@ -456,8 +485,7 @@
     const { clock, logger } = this.#opts;
     const now = clock.now();
     const known = ids.filter((id) => this.#upstreams.has(id));
-    const mayHaveLapsed =
-      now < this.#registryReconnectedAt + REGISTRY_RECOVERY_MS &&
+    const mayHaveLapsed = now < this.#outage.endedAt + REGISTRY_RECOVERY_MS &&
       (origin?.restored === true ||
         known.length > this.#upstreams.size * MAX_DEREGISTERED_FRACTION);
     if (mayHaveLapsed) {
@@ -466,9 +494,20 @@
         "registry entries may have lapsed; keeping their upstreams for the recovery period",
       );
     }
+    const latenessMs = origin?.latenessMs ?? 0;
+    const missing: Missing = {
+      since: this.#leaveTimes.countsFrom(now, latenessMs),
+      useEndsAt: origin?.restored === true
+        ? Infinity
+        : this.#leaveTimes.missingUseEndsAt(
+          now,
+          latenessMs,
+          this.#outage.failedAt,
+        ),
+    };
     for (const id of known) {
-      if (mayHaveLapsed) this.#missingSince.set(id, now);
-      else this.#remove(id, origin);
+      if (!mayHaveLapsed) this.#remove(id, origin);
+      else if (!this.#missing.has(id)) this.#missing.set(id, missing);
       if (origin?.restored === true) this.#unrestored.add(id);
     }
     this.#updateWithheld();
@@ -479,10 +518,10 @@
    * `REGISTRY_RECOVERY_MS` after the reconnect.
    */
   removeMissing(): void {
-    const graceEndsAt = this.#registryReconnectedAt + REGISTRY_RECOVERY_MS;
-    if (this.#missingSince.size === 0) return;
+    const graceEndsAt = this.#outage.endedAt + REGISTRY_RECOVERY_MS;
+    if (this.#missing.size === 0) return;
     if (this.#opts.clock.now() < graceEndsAt) return;
-    for (const id of [...this.#missingSince.keys()]) this.#remove(id);
+    for (const id of [...this.#missing.keys()]) this.#remove(id);
     this.#updateWithheld();
   }
 
@@ -512,18 +551,26 @@
    * read say so.
    */
   #leaveCountsFrom(origin: RowOrigin | undefined): number {
-    const latenessMs = origin?.latenessMs ?? 0;
-    return this.#opts.clock.now() - Math.max(0, latenessMs - LEAVE_LATENESS_MS);
+    return this.#leaveTimes.countsFrom(
+      this.#opts.clock.now(),
+      origin?.latenessMs ?? 0,
+    );
+  }
+
+  #isWithheld(id: string): boolean {
+    const missing = this.#missing.get(id);
+    return missing !== undefined &&
+      (this.#withheld.has(id) || this.#opts.clock.now() >= missing.useEndsAt);
   }
 
   /** Withholds requests from missing upstreams whose service can do without. */
   #updateWithheld(): void {
-    if (this.#missingSince.size === 0 && this.#withheld.size === 0) return;
+    if (this.#missing.size === 0 && this.#withheld.size === 0) return;
     const missing = new Map<string, string[]>();
     const counts = new Map<string, number>();
     for (const [id, { entry: { service } }] of this.#upstreams) {
       counts.set(service, (counts.get(service) ?? 0) + 1);
-      if (!this.#missingSince.has(id) || this.#unrestored.has(id)) continue;
+      if (!this.#missing.has(id) || this.#unrestored.has(id)) continue;
       missing.set(service, [...missing.get(service) ?? [], id]);
     }
     this.#withheld = new Set(
@@ -588,7 +635,7 @@
   }
 
   #remove(id: string, origin?: RowOrigin): void {
-    this.#missingSince.delete(id);
+    this.#missing.delete(id);
     this.#unrestored.delete(id);
     const known = this.#upstreams.get(id);
     if (known === undefined) return;
--- a/src/rows/table_follower.ts
+++ b/src/rows/table_follower.ts
@@ -12,6 +12,7 @@
 import type { RowOrigin } from "./row_origin.ts";
 import type { RowStore } from "./row_store.ts";
 import type { RowStoreError } from "./row_store_error.ts";
+import type { StoreOutage } from "./store_outage.ts";
 import type { TableChanges } from "./table_changes.ts";
 import { versionOfChange } from "./version_of_change.ts";
 
@@ -39,9 +40,9 @@
   onChanges: (changes: readonly RowChange[], origin: RowOrigin) => void;
   /**
    * Called when the store answers again after an outage, before the rows of
-   * that response are applied.
+   * that response are applied. Several reports may be of one outage.
    */
-  onReconnected?: () => void;
+  onReconnected?: (outage: StoreOutage) => void;
 };
 
 /** Delay after a failed call; doubles up to `MAX_RETRY_DELAY_MS`. */
@@ -97,6 +98,8 @@
   #overdueSince: number | undefined;
   #reachable = true;
   #reconnectedAt = Number.NEGATIVE_INFINITY;
+  /** When the last call that failed was sent. */
+  #failedAt = Number.NEGATIVE_INFINITY;
   /** Whether a relay has answered the last query. */
   #relayed = false;
 
@@ -313,11 +316,13 @@
       return;
     }
     this.#relayed = true;
-    const reconnectedAt = clock.now() - (relayed.regainedMs ?? Infinity);
-    if (reconnectedAt > this.#reconnectedAt + SAME_OUTAGE_WINDOW_MS) {
-      this.#reconnectedAt = reconnectedAt;
-      this.#opts.onReconnected?.();
-    }
+    // An outage that ended before the known rows were confirmed is over for this
+    // VM, whenever the relay noticed its end.
+    const reconnectedAt = sentAt - (relayed.regainedMs ?? Infinity);
+    if (
+      reconnectedAt > this.#confirmedAt &&
+      reconnectedAt > this.#reconnectedAt + SAME_OUTAGE_WINDOW_MS
+    ) this.#onReconnected(reconnectedAt);
     this.#applyFrom(
       "relay",
       changes,
@@ -363,15 +368,16 @@
   }
 
   async #readAll(signal: AbortSignal): Promise<RowStoreError | undefined> {
-    const { store, table, onSnapshot } = this.#opts;
+    const { clock, store, table, onSnapshot } = this.#opts;
+    const sentAt = clock.now();
     const read = await store.readTable(table, signal);
-    if (read.isErr()) return this.#onReadFailed(read.error, signal);
+    if (read.isErr()) return this.#onReadFailed(read.error, sentAt, signal);
     const { era } = read.value;
     if (era < this.#era) return earlierEra(era);
     const restored = this.synced && era > this.#era;
     this.#era = era;
     this.#version = read.value.version;
-    this.#versionChangedAt = this.#opts.clock.now();
+    this.#versionChangedAt = clock.now();
     this.#history.reset(read.value.version);
     this.#recentRows?.clear();
     for (const row of read.value.rows) this.#recentRows?.add(row);
@@ -398,12 +404,13 @@
     const { feedWaitMs, responseTimeoutMs, maxAgeMs } = times();
     // The older the known rows are, the sooner a dead connection is noticed.
     const waitMs = Math.max(0, Math.min(feedWaitMs, maxAgeMs - this.ageMs));
+    const sentAt = clock.now();
     const read = await withTimeout(
       { clock, ms: waitMs + responseTimeoutMs },
       signal,
       (combined) => store.waitForChanges({ table, after, waitMs }, combined),
     );
-    if (read.isErr()) return this.#onReadFailed(read.error, signal);
+    if (read.isErr()) return this.#onReadFailed(read.error, sentAt, signal);
     const { changes, version, asOf, era } = read.value;
     if (era < this.#era) return earlierEra(era);
     this.#onReadSucceeded();
@@ -445,8 +452,7 @@
   /** Entries that the copy lacks are written again, as after an outage. */
   #onRestored(): void {
     const { clock, logger, table } = this.#opts;
-    this.#reconnectedAt = clock.now();
-    this.#opts.onReconnected?.();
+    this.#onReconnected(clock.now());
     logger.warn(
       { table, era: this.#era, version: this.#version },
       "table read again, as the store was restored from an older copy",
@@ -474,15 +480,24 @@
     const { clock, logger, table } = this.#opts;
     if (this.#reachable) return;
     this.#reachable = true;
-    this.#reconnectedAt = clock.now();
-    this.#opts.onReconnected?.();
+    this.#onReconnected(clock.now());
     logger.info({ table, version: this.#version }, "table feed reconnected");
   }
 
-  #onReadFailed(err: RowStoreError, signal: AbortSignal): RowStoreError {
+  #onReconnected(endedAt: number): void {
+    this.#reconnectedAt = endedAt;
+    this.#opts.onReconnected?.({ endedAt, failedAt: this.#failedAt });
+  }
+
+  #onReadFailed(
+    err: RowStoreError,
+    sentAt: number,
+    signal: AbortSignal,
+  ): RowStoreError {
     const { logger, table } = this.#opts;
     // The process is stopping, so the error does not mean an outage.
     if (signal.aborted) return err;
+    if (err.kind !== "history_lost") this.#failedAt = sentAt;
     if (err.kind === "history_lost") {
       logger.warn(
         { table, version: this.#version },
--- a/tests/direct/fleet_view_test.ts
+++ b/tests/direct/fleet_view_test.ts
@@ -26,7 +26,7 @@
     const rig = FleetRig.manual();
     const returning = rig.upstream({ id: "returning" });
     rig.upstream({ id: "missing" });
-    rig.view.onRegistryReconnected();
+    rig.reconnect();
     rig.view.setRegistry([]);
     await rig.clock.advance(1500);
     rig.view.removeMissing();
@@ -46,7 +46,7 @@
     for (let n = 0; n < 10; n++) rig.upstream({ id: `u-${n}` });
     const kept = [...rig.view.upstreams].map(({ entry }) => entry)
       .filter(({ id }) => id !== "u-3");
-    rig.view.onRegistryReconnected();
+    rig.reconnect();
     rig.view.setRegistry(kept);
     assert.equal(rig.view.upstream("u-3"), undefined);
     // The same when the feed reports the removal.
@@ -62,7 +62,7 @@
     const rig = FleetRig.manual();
     for (let n = 0; n < 41; n++) rig.upstream({ id: `u-${n}` });
     const deregistered = Array.from({ length: 11 }, (_, n) => `u-${n}`);
-    rig.view.onRegistryReconnected();
+    rig.reconnect();
     rig.view.removeUpstreams(deregistered);
     await rig.clock.advance(1800);
     rig.view.removeMissing();
@@ -77,7 +77,7 @@
     const rig = FleetRig.manual();
     for (let n = 0; n < 10; n++) rig.upstream({ id: `u-${n}` });
     const missing = Array.from({ length: 6 }, (_, n) => `u-${n}`);
-    rig.view.onRegistryReconnected();
+    rig.reconnect();
     rig.view.removeUpstreams(missing);
     assert.ok(missing.every((id) => rig.view.isUsable(rig.view.upstream(id)!)));
     // Entries return one by one; then the others are the last choice.
@@ -88,6 +88,25 @@
     assert.ok(rig.view.mayOwnKeys(rig.view.upstream("u-1")!));
   });
 
+  // Guards against requests to upstreams that left (DRAIN): each report of a
+  // reconnect made the time anew for which missing upstreams are used.
+  it("ends the use of missing upstreams although reconnects are reported", async () => {
+    const rig = FleetRig.manual();
+    for (let n = 0; n < 10; n++) rig.upstream({ id: `u-${n}` });
+    const missing = Array.from({ length: 6 }, (_, n) => `u-${n}`);
+    rig.reconnect();
+    rig.view.removeUpstreams(missing);
+    for (let reports = 0; reports < 4; reports++) {
+      await rig.clock.advance(650);
+      rig.reconnect();
+      rig.view.removeMissing();
+    }
+    for (const id of missing) {
+      const upstream = rig.view.upstream(id);
+      assert.ok(upstream === undefined || !rig.view.isUsable(upstream), id);
+    }
+  });
+
   it("lists upstreams whose leaving the registry does not say", () => {
     const rig = FleetRig.manual();
     rig.upstream({ id: "u-1" });
@@ -225,7 +244,7 @@
       .map((entry) =>
         entry.id === "u-4" ? { ...entry, incarnation: 1 } : entry
       );
-    rig.view.onRegistryReconnected();
+    rig.reconnect();
     rig.view.setRegistry(restored, {
       source: "whole_read",
       latenessMs: 0,
--- a/tests/rows/table_follower_test.ts
+++ b/tests/rows/table_follower_test.ts
@@ -270,6 +270,27 @@
     });
   }
 
+  // Guards against upstreams that are kept in use (DRAIN), since a relay that was
+  // cut off reports the end of its outage to a VM that has followed the store.
+  it("ignores the end of an outage before its own rows were confirmed", async () => {
+    const { clock, store, seen, follower, end, advance } = createRig();
+    store.put("t", "a", "1");
+    void follower.run(end.signal);
+    await advance(3000);
+    const version = follower.version ?? 0;
+    const report = (regainedMs: number) =>
+      follower.onRelayedChanges(
+        { version, ageMs: 0, changes: [], regainedMs },
+        clock.now(),
+      );
+    report(1500);
+    assert.equal(seen.reconnected, 0);
+    await advance(1000);
+    report(100);
+    assert.equal(seen.reconnected, 1);
+    end.abort();
+  });
+
   // Guards against rows that keep the state of before a restore of the store, as
   // its versions start again below the known ones or are assigned again.
   for (const writes of [0, 2, 5]) {
--- a/tests/support/create_domain_load_vm.ts
+++ b/tests/support/create_domain_load_vm.ts
@@ -28,6 +28,8 @@
     logger: silentLogger(),
     regionOf,
     assumedVms: setup.vms,
+    changeBoundMs: 2500,
+    contactMs: 3000,
   });
   view.setConfig({
     version: 1,
--- a/tests/support/fleet_rig.ts
+++ b/tests/support/fleet_rig.ts
@@ -16,12 +16,18 @@
   readonly view: FleetView;
   #rangesVersion = 0;
 
-  constructor(readonly clock: C, vms = 4, logger = silentLogger()) {
+  constructor(
+    readonly clock: C,
+    vms = 4,
+    logger = silentLogger(),
+    bounds = { changeBoundMs: 2500, contactMs: 3000 },
+  ) {
     this.view = new FleetView({
       clock,
       logger,
       regionOf: REGION_OF,
       assumedVms: vms,
+      ...bounds,
     });
   }
 
@@ -29,6 +35,12 @@
     return new FleetRig(new ManualClock(), vms);
   }
 
+  /** The VM was disconnected from the registry until now. */
+  reconnect(): void {
+    const now = this.clock.now();
+    this.view.onRegistryReconnected({ endedAt: now, failedAt: now });
+  }
+
   route(fields: Partial<Route> = {}): Route {
     return {
       name: "r1",
--- a/tests/support/leave_simulation.ts
+++ b/tests/support/leave_simulation.ts
@@ -141,7 +141,10 @@
   #addVm(name: string): void {
     const process = new PausableClock(this.#clock, 0);
     const logger = this.#createLogger(name, process);
-    const rig = new FleetRig(process, VMS, logger);
+    const rig = new FleetRig(process, VMS, logger, {
+      changeBoundMs: this.#bounds.drainMs,
+      contactMs: this.#bounds.contactMs,
+    });
     rig.configure([rig.route()], [{ keyed: true }, { name: "s2" }]);
     rig.owners(
       ...this.#upstreams.filter(({ service }) => service === "s1")
@@ -165,7 +168,7 @@
       boundMs,
       onSnapshot: (all, origin) => rows.onSnapshot(all, origin),
       onChanges: (changes, origin) => rows.onChanges(changes, origin),
-      onReconnected: () => rig.view.onRegistryReconnected(),
+      onReconnected: (outage) => rig.view.onRegistryReconnected(outage),
     });
     const selfUrl = `http://${name}`;
     const relay: TableRelay = new TableRelay({
--- a/tests/support/platform_router.ts
+++ b/tests/support/platform_router.ts
@@ -54,6 +54,7 @@
         retries: { ratio: 0.2, windowMs: 10_000, slack: 60 },
         quota: { windowMs: 5000, overage: 0.1, slack: 20 },
         changeBoundMs: 2500,
+        contactMs: 3000,
         maxHoldMs: 10_000,
         bodyMemoryBytes: 1024 * 1024,
         clients: {
--- a/tests/support/range_rig.ts
+++ b/tests/support/range_rig.ts
@@ -32,6 +32,8 @@
       logger,
       regionOf: new Map([["a1", "a"]]),
       assumedVms: 3,
+      changeBoundMs: 2500,
+      contactMs: 3000,
     });
     view.setConfig({
       version: 1,
