fix(direct): check an upstream again before the first byte is written

An upstream was checked when it was chosen. The head was written once a connection stood, up to 350 ms later, or later still on a VM that ran late, also if the VM knew by then that the upstream was draining, gone or evacuated. With the age of the rows that adds up to 2630 ms after the leave against 2500, and 3030 against 3000 (arithmetic; no play has shown it).

The check now also stands where the first byte is written. A request that is stopped there has not been sent; it is chosen for again, and one with a key waits for the move of its key.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -7,6 +7,7 @@
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallerCall } from "./caller_call.ts";
 import type { Upstream } from "./upstream.ts";
+import { UpstreamLeaving } from "./upstream_leaving.ts";
 import type { WireProtocol } from "./wire_protocol.ts";
 
 type Options = {
@@ -25,6 +26,12 @@
    * answer to an earlier attempt would be taken for the answer to this one.
    */
   sentOn: ReadonlySet<UpstreamConnection>;
+  /**
+   * Called when a connection is established, before the first byte is written.
+   *
+   * @returns whether the upstream may still get requests
+   */
+  mayStillSend: () => boolean;
   /**
    * Called before the first byte is written.
    *
@@ -74,6 +81,7 @@
       deadlineAt - clock.now(),
     ),
     beforeSend: () => {
+      if (!options.mayStillSend()) return new UpstreamLeaving();
       sent = true;
       options.onSent(connection);
       return undefined;
@@ -128,7 +136,11 @@
       return {
         kind: "not_sent",
         reason: head.err.message,
-        connectionRejected: head.err instanceof ConnectionRejected,
+        cause: head.err instanceof ConnectionRejected
+          ? "connection_rejected"
+          : head.err instanceof UpstreamLeaving
+          ? "leaving"
+          : "no_connection",
       };
     case "unanswered":
       return { kind: "lost", reason: head.err.message };
--- a/src/direct/attempt_result.ts
+++ b/src/direct/attempt_result.ts
@@ -22,8 +22,11 @@
   | {
     kind: "not_sent";
     reason: string;
-    /** Whether the upstream is reachable but accepts no further connection. */
-    connectionRejected: boolean;
+    /**
+     * `connection_rejected`: the upstream is reachable but accepts no further
+     * connection. `leaving`: it must get no requests any more.
+     */
+    cause: "no_connection" | "connection_rejected" | "leaving";
   }
   /** The request may have run; there is no usable answer. */
   | { kind: "lost"; reason: string };
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -352,15 +352,17 @@
           state.unsentAttempts++;
           if (
             state.unsentAttempts > MAX_UNSENT_ATTEMPTS ||
-            (state.keyed && !verdict.connectionRejected)
+            (state.keyed && verdict.cause === "no_connection")
           ) return this.#fail(state, "upstream_unavailable", verdict.text);
           if (state.keyed) {
             state.tried.delete(upstream);
-            await this.#waitForChange(
-              state,
-              CONNECTION_REJECTED_RETRY_DELAY_MS,
-              disconnected,
-            );
+            if (verdict.cause === "connection_rejected") {
+              await this.#waitForChange(
+                state,
+                CONNECTION_REJECTED_RETRY_DELAY_MS,
+                disconnected,
+              );
+            }
           }
           break;
         case "misdirected":
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -274,6 +274,16 @@
     if (upstream?.entry.incarnation === incarnation) upstream.announceLeave();
   }
 
+  /**
+   * @param upstream - an upstream that was chosen for a request
+   * @param keyed - whether it was chosen as the owner of the request's key
+   * @returns whether the request may still be sent to it
+   */
+  mayStillSend(upstream: Upstream, keyed: boolean): boolean {
+    if (this.#upstreams.get(upstream.entry.id) !== upstream) return false;
+    return keyed ? this.mayServeOwnKeys(upstream) : this.isUsable(upstream);
+  }
+
   /**
    * @param upstream - an upstream that is registered or was removed
    * @returns milliseconds since it became known to be draining, evacuated or
--- a/src/direct/judge_result.ts
+++ b/src/direct/judge_result.ts
@@ -1,14 +1,12 @@
 import type { AttemptResult } from "./attempt_result.ts";
 
+type NotSent = Extract<AttemptResult, { kind: "not_sent" }>;
 type Answered = Extract<AttemptResult, { kind: "answered" }>;
 
 type Verdict =
   | { kind: "deliver"; text: string; result: Answered }
-  /**
-   * No byte of the request was sent. `connectionRejected`: the upstream accepts
-   * no further connection at present.
-   */
-  | { kind: "not_sent"; text: string; connectionRejected: boolean }
+  /** No byte of the request was sent. */
+  | { kind: "not_sent"; text: string; cause: NotSent["cause"] }
   /** The address belongs to another upstream, or the key to another owner. */
   | { kind: "misdirected"; text: string }
   /** The upstream rejected the request without running it. */
@@ -38,7 +36,7 @@
       return {
         kind: "not_sent",
         text: `not sent, ${result.reason}`,
-        connectionRejected: result.connectionRejected,
+        cause: result.cause,
       };
     case "lost":
       return {
--- a/src/direct/upstream_sender.ts
+++ b/src/direct/upstream_sender.ts
@@ -83,6 +83,7 @@
         view.vms,
       ),
       sentOn: state.sentOn,
+      mayStillSend: () => view.mayStillSend(upstream, state.keyed),
       onSent: (connection) => {
         state.sentOn.add(connection);
         this.#recordWrite(state, upstream, connection);
--- a/tests/direct/attempt_test.ts
+++ b/tests/direct/attempt_test.ts
@@ -213,7 +213,7 @@
       server.close();
       assert.equal(result.kind, kind);
       if (result.kind === "not_sent") {
-        assert.ok(result.connectionRejected);
+        assert.equal(result.cause, "connection_rejected");
         assert.ok(!upstream.failures.isUnreachable(systemClock.now()));
       }
     });
--- a/tests/direct/judge_result_test.ts
+++ b/tests/direct/judge_result_test.ts
@@ -43,7 +43,7 @@
   ["no answer", { kind: "lost", reason: "reset" }, "failed", false],
   [
     "no connection",
-    { kind: "not_sent", reason: "x", connectionRejected: false },
+    { kind: "not_sent", reason: "x", cause: "no_connection" },
     "not_sent",
     false,
   ],
--- a/tests/support/attempt_options.ts
+++ b/tests/support/attempt_options.ts
@@ -29,6 +29,7 @@
     deadlineAt: systemClock.now() + DEADLINE_MS,
     maxConnections: 2,
     sentOn: new Set(),
+    mayStillSend: () => true,
     onSent: () => undefined,
     answerMemory: new ByteBudget(ANSWER_MEMORY_BYTES),
     ...fields,
