fix(direct): an older entry does not bring a removed upstream back

An upstream that had left without draining was used again when the store carried out a write of its entry late, from before the last one that was read. The entry was ignored as older, but only after the removed upstream had been restored with its last state. In the same way it ended the time for which a missing upstream gets no requests.

The check for an older entry now comes before anything else.

Three cases of fleet_view_test fail before.

--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -427,23 +427,26 @@
     const { clock, logger } = this.#opts;
     const drainingSince = this.#leaveCountsFrom(origin);
     const { id, incarnation, service, state, failureDomain } = entry;
-    const known = this.#upstreams.get(id) ?? this.#restore(entry);
-    this.#unrestored.delete(id);
-    if (this.#missing.delete(id)) this.#updateWithheld();
-    const same = known?.entry.incarnation === incarnation &&
-      known.entry.address === entry.address;
-    if (known?.hasNewerThan(entry, clock.now()) === true) {
+    const last = this.#upstreams.get(id) ?? this.#removed.get(id)?.upstream;
+    if (last?.hasNewerThan(entry, clock.now()) === true) {
       logger.info(
         {
           upstream: id,
           service,
           state,
-          inUse: known.entry.state,
+          inUse: this.#upstreams.has(id) ? last.entry.state : undefined,
           ...originLogFields(origin),
         },
         "older registry entry ignored",
       );
-    } else if (same) {
+      return;
+    }
+    const known = this.#upstreams.get(id) ?? this.#restore(entry);
+    this.#unrestored.delete(id);
+    if (this.#missing.delete(id)) this.#updateWithheld();
+    const same = known?.entry.incarnation === incarnation &&
+      known.entry.address === entry.address;
+    if (same) {
       if (known.entry.state !== state) {
         logger.info(
           {
