--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -136,11 +136,7 @@
       return {
         kind: "not_sent",
         reason: head.err.message,
-        cause: head.err instanceof ConnectionRejected
-          ? "connection_rejected"
-          : head.err instanceof UpstreamLeaving
-          ? "leaving"
-          : "no_connection",
+        cause: notSentCause(head.err),
       };
     case "unanswered":
       return { kind: "lost", reason: head.err.message };
@@ -188,6 +184,13 @@
   }
 }
 
+function notSentCause(
+  err: Error,
+): Extract<AttemptResult, { kind: "not_sent" }>["cause"] {
+  if (err instanceof ConnectionRejected) return "connection_rejected";
+  return err instanceof UpstreamLeaving ? "leaving" : "no_connection";
+}
+
 async function readBody(
   body: Readable,
   memory: ByteBudget,
--- a/src/direct/fleet_view.ts
+++ b/src/direct/fleet_view.ts
@@ -8,6 +8,7 @@
 import { IdleLimit } from "../upstreams/idle_limit.ts";
 import { areConnectionsScarce } from "./are_connections_scarce.ts";
 import { LeaveTimes } from "./leave_times.ts";
+import { MissingUpstreams } from "./missing_upstreams.ts";
 import { mostUrgentPriorities } from "./most_urgent_priorities.ts";
 import type { RouteMatcher } from "./route_matcher.ts";
 import type { RoutingConfig } from "./routing_config.ts";
@@ -31,31 +32,6 @@
    */
   contactMs: number;
 };
-/** An upstream whose registry entry is missing and may have lapsed. */
-type Missing = {
-  /** Time from which it counts as leaving. */
-  since: number;
-  /** Until when it is used if most of its service is missing. */
-  useEndsAt: number;
-};
-
-/**
- * Registry entries that lapsed while the registry was unreachable are written
- * again within two seconds after it is reachable.
- */
-const REGISTRY_RECOVERY_MS = 2200;
-/**
- * In an outage of the registry itself, entries lapse together. If at most this
- * fraction of the upstreams is missing after a reconnect, it is assumed that
- * only this VM was disconnected and that the missing upstreams have
- * deregistered.
- */
-const MAX_DEREGISTERED_FRACTION = 0.25;
-/**
- * Upstreams whose entries may have lapsed get no requests if at most this
- * fraction of their service is missing, since the others can serve instead.
- */
-const MAX_WITHHELD_FRACTION = 0.5;
 /**
  * What is known of a removed upstream is kept for this time, since entries that
  * lapsed in an outage of the registry are written again soon after it.
@@ -83,15 +59,7 @@
   readonly #removed = new Map<string, { upstream: Upstream; at: number }>();
   readonly #idleLimit: IdleLimit;
   readonly #leaveTimes: LeaveTimes;
-  /** By id. */
-  readonly #missing = new Map<string, Missing>();
-  /**
-   * Ids in `#missing` whose entries a restored registry lacks. They were
-   * registered after the copy was taken, so they are likely to be running.
-   */
-  readonly #unrestored = new Set<string>();
-  /** Ids in `#missing` that get no requests. */
-  #withheld: ReadonlySet<string> = new Set();
+  readonly #missing: MissingUpstreams;
   /** Incarnations that have announced in an answer to leave, by id. */
   readonly #leaving = new Map<string, { incarnation: number; at: number }>();
   readonly #ranges = new Map<string, RangeTable>();
@@ -105,10 +73,6 @@
   /** Evacuated failure domains, with the time from which that counts. */
   #evacuated: ReadonlyMap<string, number> = new Map();
   #registryRead = false;
-  #outage: StoreOutage = {
-    endedAt: Number.NEGATIVE_INFINITY,
-    failedAt: Number.NEGATIVE_INFINITY,
-  };
   #vms: number;
   /** When a number of VMs of at least `#vms` was last reported. */
   #vmsSeenAt: number;
@@ -120,6 +84,7 @@
   constructor(opts: Options) {
     this.#opts = opts;
     this.#leaveTimes = new LeaveTimes(opts);
+    this.#missing = new MissingUpstreams(opts.clock, this.#leaveTimes);
     this.#idleLimit = new IdleLimit((change) =>
       opts.logger.info(change, "idle limit of connections changed")
     );
@@ -227,7 +192,8 @@
    * entry is not missing
    */
   isUsable(upstream: Upstream): boolean {
-    return this.mayOwnKeys(upstream) && !this.#isWithheld(upstream.entry.id);
+    return this.mayOwnKeys(upstream) &&
+      this.#missing.withheldSince(upstream.entry.id) === Infinity;
   }
 
   /**
@@ -296,9 +262,7 @@
     const since = Math.min(
       removed?.upstream === upstream ? removed.at : Infinity,
       upstream.drainingSince ?? Infinity,
-      this.#isWithheld(id)
-        ? this.#missing.get(id)?.since ?? Infinity
-        : Infinity,
+      this.#missing.withheldSince(id),
       this.#evacuated.get(upstream.entry.failureDomain) ?? Infinity,
     );
     return Math.max(0, this.#opts.clock.now() - since);
@@ -409,14 +373,13 @@
   }
 
   /**
-   * Records that the registry is reachable again. For `REGISTRY_RECOVERY_MS`
-   * after the end of the outage, entries that lapsed in it may be missing.
+   * Records that the registry is reachable again; entries that lapsed in the
+   * outage may be missing for some time.
    *
-   * @param outage - the outage; one that was reported before, or ended earlier,
-   * changes nothing
+   * @param outage - the outage; it may be reported several times
    */
   onRegistryReconnected(outage: StoreOutage): void {
-    if (outage.endedAt > this.#outage.endedAt) this.#outage = outage;
+    this.#missing.onReconnected(outage);
   }
 
   /**
@@ -442,8 +405,9 @@
       return;
     }
     const known = this.#upstreams.get(id) ?? this.#restore(entry);
-    this.#unrestored.delete(id);
-    if (this.#missing.delete(id)) this.#updateWithheld();
+    if (this.#missing.delete(id)) {
+      this.#missing.updateWithheld(this.#upstreams);
+    }
     const same = known?.entry.incarnation === incarnation &&
       known.entry.address === entry.address;
     if (same) {
@@ -485,9 +449,8 @@
   }
 
   /**
-   * Removes upstreams. If more than `MAX_DEREGISTERED_FRACTION` of all are
-   * reported within `REGISTRY_RECOVERY_MS` after a reconnect, they are kept until
-   * `removeMissing`, since their entries may have lapsed in an outage.
+   * Removes upstreams, or keeps them until `removeMissing` if their entries may
+   * have lapsed in an outage.
    *
    * @param ids - upstreams whose registry entries one answer of the registry
    * reported as removed
@@ -495,47 +458,27 @@
    * are kept whatever their number
    */
   removeUpstreams(ids: readonly string[], origin?: RowOrigin): void {
-    const { clock, logger } = this.#opts;
-    const now = clock.now();
     const known = ids.filter((id) => this.#upstreams.has(id));
-    const mayHaveLapsed = now < this.#outage.endedAt + REGISTRY_RECOVERY_MS &&
-      (origin?.restored === true ||
-        known.length > this.#upstreams.size * MAX_DEREGISTERED_FRACTION);
-    if (mayHaveLapsed) {
-      logger.warn(
+    const { size } = this.#upstreams;
+    if (this.#missing.mayHaveLapsed(known.length, size, origin)) {
+      this.#opts.logger.warn(
         { missing: known },
         "registry entries may have lapsed; keeping their upstreams for the recovery period",
       );
-    }
-    const latenessMs = origin?.latenessMs ?? 0;
-    const missing: Missing = {
-      since: this.#leaveTimes.countsFrom(now, latenessMs),
-      useEndsAt: origin?.restored === true
-        ? Infinity
-        : this.#leaveTimes.missingUseEndsAt(
-          now,
-          latenessMs,
-          this.#outage.failedAt,
-        ),
-    };
-    for (const id of known) {
-      if (!mayHaveLapsed) this.#remove(id, origin);
-      else if (!this.#missing.has(id)) this.#missing.set(id, missing);
-      if (origin?.restored === true) this.#unrestored.add(id);
-    }
-    this.#updateWithheld();
+      this.#missing.add(known, origin);
+    } else for (const id of known) this.#remove(id, origin);
+    this.#missing.updateWithheld(this.#upstreams);
   }
 
   /**
-   * Removes upstreams whose registry entries were not written again within
-   * `REGISTRY_RECOVERY_MS` after the reconnect.
+   * Removes upstreams whose registry entries were not written again by the end
+   * of the registry's recovery.
    */
   removeMissing(): void {
-    const graceEndsAt = this.#outage.endedAt + REGISTRY_RECOVERY_MS;
-    if (this.#missing.size === 0) return;
-    if (this.#opts.clock.now() < graceEndsAt) return;
-    for (const id of [...this.#missing.keys()]) this.#remove(id);
-    this.#updateWithheld();
+    const { ids, recovering } = this.#missing;
+    if (ids.length === 0 || recovering) return;
+    for (const id of ids) this.#remove(id);
+    this.#missing.updateWithheld(this.#upstreams);
   }
 
   /**
@@ -570,31 +513,6 @@
     );
   }
 
-  #isWithheld(id: string): boolean {
-    const missing = this.#missing.get(id);
-    return missing !== undefined &&
-      (this.#withheld.has(id) || this.#opts.clock.now() >= missing.useEndsAt);
-  }
-
-  /** Withholds requests from missing upstreams whose service can do without. */
-  #updateWithheld(): void {
-    if (this.#missing.size === 0 && this.#withheld.size === 0) return;
-    const missing = new Map<string, string[]>();
-    const counts = new Map<string, number>();
-    for (const [id, { entry: { service } }] of this.#upstreams) {
-      counts.set(service, (counts.get(service) ?? 0) + 1);
-      if (!this.#missing.has(id) || this.#unrestored.has(id)) continue;
-      missing.set(service, [...missing.get(service) ?? [], id]);
-    }
-    this.#withheld = new Set(
-      [...missing].flatMap(([service, ids]) =>
-        ids.length <= MAX_WITHHELD_FRACTION * (counts.get(service) ?? 0)
-          ? ids
-          : []
-      ),
-    );
-  }
-
   #recordLeave({ id, incarnation, service }: UpstreamEntry): void {
     const { clock, logger } = this.#opts;
     const now = clock.now();
@@ -649,7 +567,6 @@
 
   #remove(id: string, origin?: RowOrigin): void {
     this.#missing.delete(id);
-    this.#unrestored.delete(id);
     const known = this.#upstreams.get(id);
     if (known === undefined) return;
     const now = this.#opts.clock.now();
